--- /dev/null
+++ b/badgerbend/api.py
@@ -0,0 +1,255 @@
+"""The interface of `Aggregator`: settings, events, actions. It holds no decision and no tuned value."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Outcome(IntEnum):
+    """How an attempt or a probe ended."""
+
+    OK = 0
+    ERROR = 1  # the server answered with an error; the part may have run
+    FULL = 2  # turned away unread
+    TIMEOUT = 3  # no answer in time; it may have run, or run still
+    CONNECT_FAILED = 4  # no connection in time
+    RESET = 5  # the connection broke; it may have run
+    CANCELLED = 6  # called off; it may have run
+    MOOT = 7  # never left the broker
+
+    @property
+    def never_ran(self) -> bool:
+        """Whether this outcome proves that the attempt had no effect."""
+        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+
+
+class NodeState(IntEnum):
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class ViewKind(IntEnum):
+    DELTA = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+# -- settings
+
+
+@dataclass(frozen=True, slots=True)
+class QueryClass:
+    aim_ms: float  # an answer within this earns its full worth
+    deadline_ms: float  # the client's patience over all its tries
+    effect: str  # "safe", "keyed" or "unsafe" to repeat
+    repeat_window_ms: float  # keyed: repeats are dropped for this long
+    late_worth: float  # share of the worth kept after the aim
+    worth: float
+    need: float  # weight of the parts that make a whole answer
+    floor: float  # least weight that an answer may rest on
+    second_step: int  # parts fetched after the first answer; 0 for none
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    quota_per_s: float  # over all brokers
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    classes: tuple[QueryClass, ...]
+    tenants: tuple[Tenant, ...]
+    broker: int
+    brokers: int
+    zone: int
+    cells: int
+    reach: int  # consecutive cells that hold a shard
+    parts_per_call: int
+    max_attempts: int
+    max_open: int
+    second_copies: bool
+    cancel: bool
+    probing: bool
+    retry_after: bool
+    max_retry_after_ms: float
+    list_by_asking: bool
+    over_share_worth: float
+    cold_from: float
+    cold_ms: float
+    overload_factor: float
+    fall_ms: float
+    extra_free: float | None  # further attempts: free ones in a window; None where no budget is stated
+    extra_share: float | None
+    extra_window_ms: float | None
+
+
+# -- events
+
+
+@dataclass(frozen=True, slots=True)
+class NodeLine:
+    node: int
+    cell: int
+    state: NodeState
+    started_ms: float  # 0: long ago
+    zone: int
+    kind: int
+    size: float
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    kind: ViewKind
+    lines: tuple[NodeLine, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    id: int
+    shard: int
+    weight: float
+    cost_ms: float | None  # rough hint of its work
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    id: int
+    number: int
+    cls: int
+    tenant: int
+    key: int
+    time_left_ms: float
+    is_retry: bool
+    cost_ms: float | None
+    parts: tuple[Part, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MoreParts:
+    """The second step of a query that was answered once."""
+
+    number: int
+    parts: tuple[Part, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    part: int
+    attempt: int
+    node: int
+    outcome: Outcome
+    elapsed_ms: float
+    report: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    part: int
+    attempt: int
+    node: int
+    elapsed_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Alarm:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    node: int
+    outcome: Outcome
+    elapsed_ms: float
+    report: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    peer: int
+    payload: bytes
+
+
+Event = View | Query | MoreParts | Completed | Started | Gone | Alarm | Probed | Message
+
+
+# -- actions
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    part: int
+    node: int
+    timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    part: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    query: int
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    query: int
+    retry_after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    query: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetAlarm:
+    after_ms: float
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    peer: int | None  # None: all of them
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """Ask discovery for changes from now on, or no longer."""
+
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReadList:
+    """Ask discovery once for the whole list."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    text: str
+
+
+Action = Send | Cancel | Answer | Refuse | Fail | SetAlarm | Probe | CloseIdle | Tell | Follow | ReadList | Log
--- /dev/null
+++ b/badgerbend/benchlink.py
@@ -0,0 +1,357 @@
+"""The adapter: speaks the bench's binary wire on standard input and output, and decides nothing."""
+
+from __future__ import annotations
+
+import gc
+import math
+import sys
+import traceback
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from struct import Struct
+from struct import error as StructError
+from typing import BinaryIO
+
+from badgerbend import api
+from badgerbend.logic import Aggregator
+
+BATCH_HEAD, REPLY_HEAD = Struct(">IId"), Struct(">II")
+EVENT_SIZE, LINE_SIZE, CLOCK_BYTES = 48, 22, 8
+
+SELECT, START, VIEW, SHEET, SUBMIT, ACK, COMPLETED, INBOX, PROBED, EXIT, GONE, ALARM = (
+    8, 5, 2, 3, 4, 11, 6, 7, 9, 10, 12, 1)  # fmt: skip
+U32, F_START, F_VIEW, F_SHEET = Struct(">I"), Struct(">QII"), Struct(">BQI"), Struct(">III")
+F_SUBMIT, F_COMPLETED = Struct(">IQfdHBdHff"), Struct(">IHIHdBB4f")
+F_ACK, F_PROBED, F_INBOX, F_ALARM = Struct(">IHId"), Struct(">IHdB4f"), Struct(">III"), Struct(">Q")
+F_LINE = Struct(">HIdHBfB")
+
+A_BEHALF, A_SEND, A_CANCEL = Struct(">BI19x"), Struct(">BIId7x"), Struct(">BIH17x")
+A_REFUSE, A_ID, A_ALARM = Struct(">BId11x"), Struct(">BI19x"), Struct(">BdQ7x")
+A_ANSWER, A_FLAG, A_BARE = Struct(">BIB18x"), Struct(">BB22x"), Struct(">B23x")
+A_TEXT, A_TELL = Struct(">BII15x"), Struct(">BIII11x")
+
+OUTCOMES = {
+    0: api.Outcome.OK, 255: api.Outcome.ERROR, 254: api.Outcome.FULL, 253: api.Outcome.TIMEOUT,
+    252: api.Outcome.CONNECT_FAILED, 251: api.Outcome.RESET, 250: api.Outcome.CANCELLED, 249: api.Outcome.MOOT,
+}  # fmt: skip
+EFFECTS = {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "unsafe"}
+ALL_PEERS = 0xFFFFFFFF
+
+
+class WireError(Exception):
+    """The frame cannot be what the wire describes."""
+
+
+class SettingError(Exception):
+    """A setting is missing or malformed."""
+
+
+def parse_facts(text: str) -> dict[str, str]:
+    """Path=value lines as a mapping."""
+    return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+
+def read_settings(facts: Mapping[str, str]) -> api.Settings:
+    """The settings that the module takes; unknown keys are skipped, a bad one is named."""
+
+    def number(key: str, low: float = -math.inf) -> float:
+        if key not in facts:
+            raise SettingError(f"setting {key} is missing")
+        try:
+            value = float(facts[key])
+        except ValueError:
+            value = math.nan
+        if not math.isfinite(value) or value < low:
+            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+        return value
+
+    def whole(key: str, low: int = 0) -> int:
+        value = number(key, low)
+        if value != int(value):
+            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+        return int(value)
+
+    def flag(key: str) -> bool:
+        if facts.get(key) not in ("true", "false"):
+            what = f"malformed: {facts[key]!r}" if key in facts else "missing"
+            raise SettingError(f"setting {key} is {what}")
+        return facts[key] == "true"
+
+    def optional(key: str) -> float | None:
+        return number(key, 0.0) if key in facts else None
+
+    def floats(key: str, count: int) -> list[float]:
+        if key not in facts:
+            raise SettingError(f"setting {key} is missing")
+        try:
+            values = [float(x) for x in facts[key].split(",")]
+        except ValueError:
+            values = []
+        if len(values) != count or not all(math.isfinite(v) and v >= 0 for v in values):
+            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+        return values
+
+    count = whole("categories.count", 1)
+    need, floor = floats("specifics.wholeAt", count), floats("specifics.minShare", count)
+    follow = floats("specifics.followUp", count)
+    classes = []
+    for i in range(count):
+        at = f"categories.{i}."
+        effect = facts.get(at + "idempotency")
+        if effect not in EFFECTS:
+            what = f"malformed: {effect!r}" if effect is not None else "missing"
+            raise SettingError(f"setting {at}idempotency is {what}")
+        classes.append(
+            api.QueryClass(
+                aim_ms=number(at + "aimMs", 0.0),
+                deadline_ms=number(at + "hardLimitMs", 0.0),
+                effect=EFFECTS[effect],
+                repeat_window_ms=number(at + "repeatWindowMs", 0.0) if EFFECTS[effect] == "keyed" else 0.0,
+                late_worth=number(at + "lateValue", 0.0),
+                worth=number(at + "value", 0.0),
+                need=need[i],
+                floor=floor[i],
+                second_step=int(follow[i]),
+            )
+        )
+    tenants = whole("tenants.count") if "tenants.count" in facts else 0
+    return api.Settings(
+        classes=tuple(classes),
+        tenants=tuple(api.Tenant(number(f"tenants.{i}.quotaPerS", 0.0)) for i in range(tenants)),
+        broker=whole("me"),
+        brokers=whole("fleetSize", 1),
+        zone=whole("zone"),
+        cells=whole("specifics.sets", 1),
+        reach=whole("specifics.width", 1),
+        parts_per_call=whole("specifics.partsACall", 1),
+        max_attempts=whole("ceilings.maxAttempts", 1),
+        max_open=whole("ceilings.maxOpen", 1),
+        second_copies=flag("ceilings.secondCopies"),
+        cancel=flag("ceilings.cancel"),
+        probing=flag("ceilings.probing"),
+        retry_after=flag("ceilings.retryAfter"),
+        max_retry_after_ms=number("ceilings.maxRetryAfterMs", 0.0),
+        list_by_asking=facts.get("registryMode") == "ask",
+        over_share_worth=number("overShareWorth", 0.0),
+        cold_from=number("obligations.coldFrom", 0.0),
+        cold_ms=number("obligations.coldMs", 0.0),
+        overload_factor=number("obligations.overloadFactor", 0.0),
+        fall_ms=number("obligations.fallMs", 0.0),
+        extra_free=optional("obligations.minExtra"),
+        extra_share=optional("obligations.extraPerRequest"),
+        extra_window_ms=optional("obligations.lookBackMs"),
+    )
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A query, or a second step, whose parts are still being read."""
+
+    head: tuple[int, int, int, int, float, bool, float | None] | None
+    number: int
+    parts: list[api.Part] = field(default_factory=list)
+
+    def event(self) -> api.Query | api.MoreParts:
+        if self.head is None:
+            return api.MoreParts(self.number, tuple(self.parts))
+        qid, cls, tenant, key, left, retry, cost = self.head
+        return api.Query(qid, self.number, cls, tenant, key, left, retry, cost, tuple(self.parts))
+
+
+class Link:
+    """All instances of one process. They share nothing but the decoded lists, which are never changed."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Aggregator] = {}
+        self.sheets: dict[int, tuple[api.NodeLine, ...]] = {}
+
+    def turn(self, frame: bytes) -> bytes:
+        """One batch (whole, with its header) to one reply."""
+        count, size, now = BATCH_HEAD.unpack_from(frame)
+        if not math.isfinite(now):
+            raise WireError("header: the clock is not finite")
+        tail = BATCH_HEAD.size + count * EVENT_SIZE
+        if tail > len(frame) or size != len(frame) - CLOCK_BYTES:
+            raise WireError(f"header: {count} records do not fit in {len(frame)} bytes")
+        order: list[int] = []
+        events: dict[int, list[api.Event | _Pending]] = {}
+        fresh: dict[int, str] = {}
+        me: int | None = None
+        for i in range(count):
+            at = BATCH_HEAD.size + i * EVENT_SIZE
+            try:
+                code = frame[at]
+                if code == SELECT:
+                    (me,) = U32.unpack_from(frame, at + 1)
+                elif code == SHEET:
+                    slot, offset, n = F_SHEET.unpack_from(frame, at + 1)
+                    self.sheets[slot] = self._lines(frame, tail + offset, n)
+                elif me is None:
+                    raise WireError("no instance is selected")
+                elif code == START:
+                    seed, offset, n = F_START.unpack_from(frame, at + 1)
+                    facts = self._bytes(frame, tail + offset, n).decode("utf-8", "replace")
+                    events[me] = []
+                    fresh.pop(me, None)
+                    self.instances.pop(me, None)
+                    try:
+                        self.instances[me] = Aggregator(read_settings(parse_facts(facts)), seed)
+                    except SettingError as err:
+                        fresh[me] = str(err)
+                    if me not in order:
+                        order.append(me)
+                elif code == EXIT:
+                    self.instances.pop(me, None)
+                    events.pop(me, None)
+                    fresh.pop(me, None)
+                    if me in order:
+                        order.remove(me)
+                else:
+                    if me not in events:
+                        events[me] = []
+                        order.append(me)
+                    self._read(code, frame, at, tail, events[me])
+            except (WireError, StructError, KeyError, ValueError, IndexError) as err:
+                raise WireError(f"record {i}: {err!r}" if not isinstance(err, WireError) else f"record {i}: {err}")
+        reply = Reply()
+        for who in order:
+            reply.act_for(who)
+            if who in fresh:
+                reply.text(74, fresh[who])
+                continue
+            instance = self.instances.get(who)
+            if instance is None:
+                continue
+            try:
+                ready = [e.event() if isinstance(e, _Pending) else e for e in events[who]]
+                reply.write(instance.step(now, ready))
+            except Exception as err:
+                last = traceback.extract_tb(err.__traceback__)[-1]
+                reply.text(74, f"{type(err).__name__}: {err} at {last.name} line {last.lineno}")
+        return reply.frame()
+
+    @staticmethod
+    def _bytes(frame: bytes, at: int, n: int) -> bytes:
+        if at + n > len(frame):
+            raise WireError(f"{n} bytes of tail run past the end")
+        return frame[at : at + n]
+
+    def _lines(self, frame: bytes, at: int, n: int) -> tuple[api.NodeLine, ...]:
+        raw = self._bytes(frame, at, n * LINE_SIZE)
+        return tuple(
+            api.NodeLine(node, cell, api.NodeState(state), start, zone, kind, size)
+            for cell, node, start, kind, zone, size, state in F_LINE.iter_unpack(raw)
+        )
+
+    def _read(self, code: int, frame: bytes, at: int, tail: int, out: list[api.Event | _Pending]) -> None:
+        at += 1
+        if code == SUBMIT:
+            rid, key, shard, left, bits, cls, cost, tenant, number, amount = F_SUBMIT.unpack_from(frame, at)
+            hint = cost if bits & 1 else None
+            last = out[-1] if out else None
+            if shard < 0:
+                out.append(_Pending((rid, cls, tenant, key, left, bool(bits & 2), hint), int(number)))
+                return
+            if not isinstance(last, _Pending) or last.number != int(number):
+                last = _Pending(None, int(number))
+                out.append(last)
+            last.parts.append(api.Part(rid, int(shard), amount, hint))
+        elif code == COMPLETED:
+            part, attempt, node, outcome, took, _settled, n, *load = F_COMPLETED.unpack_from(frame, at)
+            out.append(api.Completed(part, attempt, node, OUTCOMES[outcome], took, tuple(load[:n])))
+        elif code == ALARM:
+            out.append(api.Alarm(*F_ALARM.unpack_from(frame, at)))
+        elif code == VIEW:
+            how, _rev, slot = F_VIEW.unpack_from(frame, at)
+            kind = api.ViewKind(how)
+            out.append(api.View(kind, () if kind == api.ViewKind.FAILED else self.sheets[slot]))
+        elif code == PROBED:
+            node, outcome, took, n, *load = F_PROBED.unpack_from(frame, at)
+            out.append(api.Probed(node, OUTCOMES[outcome], took, tuple(load[:n])))
+        elif code == GONE:
+            out.append(api.Gone(*U32.unpack_from(frame, at)))
+        elif code == INBOX:
+            who, offset, n = F_INBOX.unpack_from(frame, at)
+            out.append(api.Message(who, self._bytes(frame, tail + offset, n)))
+        elif code == ACK:
+            out.append(api.Started(*F_ACK.unpack_from(frame, at)))
+        else:
+            raise WireError(f"unknown event code {code}")
+
+
+class Reply:
+    """Builds one reply frame."""
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.tail = bytearray()
+
+    def act_for(self, instance: int) -> None:
+        self.records.append(A_BEHALF.pack(78, instance))
+
+    def text(self, code: int, text: str) -> None:
+        raw = text.encode()
+        self.records.append(A_TEXT.pack(code, len(self.tail), len(raw)))
+        self.tail += raw
+
+    def write(self, actions: list[api.Action]) -> None:
+        add = self.records.append
+        for a in actions:
+            match a:
+                case api.Send(part, node, timeout):
+                    add(A_SEND.pack(65, part, node, timeout))
+                case api.SetAlarm(after, token):
+                    add(A_ALARM.pack(69, after, token))
+                case api.Cancel(part, attempt):
+                    add(A_CANCEL.pack(68, part, attempt))
+                case api.Answer(query, whole):
+                    add(A_ANSWER.pack(77, query, whole))
+                case api.Refuse(query, after):
+                    add(A_REFUSE.pack(66, query, after))
+                case api.Fail(query):
+                    add(A_ID.pack(67, query))
+                case api.Probe(node):
+                    add(A_ID.pack(70, node))
+                case api.CloseIdle(node):
+                    add(A_ID.pack(71, node))
+                case api.Tell(peer, payload):
+                    add(A_TELL.pack(72, ALL_PEERS if peer is None else peer, len(self.tail), len(payload)))
+                    self.tail += payload
+                case api.Follow(on):
+                    add(A_FLAG.pack(75, on))
+                case api.ReadList():
+                    add(A_BARE.pack(76))
+                case api.Log(text):
+                    self.text(73, text)
+
+    def frame(self) -> bytes:
+        body = b"".join(self.records) + bytes(self.tail)
+        return REPLY_HEAD.pack(len(self.records), len(body)) + body
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Batches in, replies out, until the input ends."""
+    link = Link()
+    while head := source.read(CLOCK_BYTES):
+        if len(head) < CLOCK_BYTES:
+            raise WireError("header: the input ends inside it")
+        _count, size = REPLY_HEAD.unpack(head)
+        body = source.read(size)
+        if len(body) < size or size < CLOCK_BYTES:
+            raise WireError(f"frame: {size} bytes announced, {len(body)} came")
+        sink.write(link.turn(head + body))
+        sink.flush()
+
+
+def main() -> int:
+    gc.freeze()
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireError as err:
+        print(f"badgerbend: {err}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
