Fewer false alarms and refusals

Cause: the record spoke after a handful of answers, silence was called at twice the late mark, a suspect was probed each tick, and Little's law over parts that were lost refused mild load.

--- a/badgerbend/benchlink.py
+++ b/badgerbend/benchlink.py
@@ -32,7 +32,8 @@
 
 OUTCOMES = {
     0: api.Outcome.OK, 255: api.Outcome.ERROR, 254: api.Outcome.FULL, 253: api.Outcome.TIMEOUT,
-    252: api.Outcome.CONNECT_FAILED, 251: api.Outcome.RESET, 250: api.Outcome.CANCELLED, 249: api.Outcome.MOOT,
+    252: api.Outcome.CONNECT_FAILED, 251: api.Outcome.RESET,
+    250: api.Outcome.CANCELLED, 249: api.Outcome.MOOT,
 }  # fmt: skip
 EFFECTS = {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "unsafe"}
 ALL_PEERS = 0xFFFFFFFF
@@ -212,7 +213,8 @@
                         order.append(me)
                     self._read(code, frame, at, tail, events[me])
             except (WireError, StructError, KeyError, ValueError, IndexError) as err:
-                raise WireError(f"record {i}: {err!r}" if not isinstance(err, WireError) else f"record {i}: {err}")
+                why = str(err) if isinstance(err, WireError) else repr(err)
+                raise WireError(f"record {i}: {why}") from err
         reply = Reply()
         for who in order:
             reply.act_for(who)
--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -22,19 +22,22 @@
 PERIOD_MS = 1_000.0  # the design's period for choosing r
 DRAWS = 100  # resamples for the order statistics: error of a mean near a tenth of the spread
 PARALLEL = 2  # guessed parts that a server serves at once: small servers have two cores
-LATE_QUANTILE = 0.95  # a part slower than this share of its kind is late: one in twenty gets help for nothing
-SILENT_LATES = 2.0  # no word for this many times the late mark: silence, not bad luck
-SLOW_FACTOR = 3.0  # a server whose usual answer takes this many times the fleet's is not merely the older kind
+FEW = 20  # below so many answers the record says nothing: a 95th percentile needs twenty
+LATE_QUANTILE = 0.95  # a part slower than this share is late: one in twenty is helped for nothing
+SILENT_LATES = 4.0  # no word for this many times the late mark: silence, not a pause or bad luck
+SLOW_FACTOR = 3.0  # times the fleet's usual answer: more than an older kind of machine explains
 SLOW_SAMPLES = 5  # answers whose middle value says so: one costly query must not
-TRIAL_MS = 1_000.0  # a suspect gets one probe or trial part this often
+TRIAL_MS = 1_000.0  # a suspect is probed this often
+BLIND_MS = 5_000.0  # and gets a trial part this often though no probe came back, as in a jam
 LONG_SILENCE_MS = 3_000.0  # silence that may have been a restart
 MOST_EJECTED = 0.5  # more suspects than this share: the cause is load or ourselves, so none is ejected
 HEDGE_SHARE = 0.7  # share of the budget open to hedges; the rest is kept for proven failures
-OWN_FREE, OWN_SHARE, OWN_WINDOW_MS = 5.0, 0.1, 5_000.0  # our own budget for further attempts where none is stated
+OWN_FREE, OWN_SHARE, OWN_WINDOW_MS = 5.0, 0.1, 5_000.0  # our own attempt budget where none is stated
 REPEAT_MARGIN_MS = 50.0  # keyed repeats stop this long before the server forgets the key
-RATE_MS = 2_000.0  # window of the rate at which our parts are answered
+JAM_MS = 2_000.0  # how far back the answers count that foretell a query's time
+JAM_QUANTILE = 0.75  # a query waits for the slowest of a few parts
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
-REFUSE_OVER_QUOTA_AT = 0.3  # a tenant beyond its quota has to leave this much more room
+REFUSE_OVER_QUOTA_AT = 0.35  # a tenant beyond its quota is let in only with twice that room
 
 
 # -- Knowledge. On call: what this broker has seen; none of it outlives a restart.
@@ -50,14 +53,14 @@
         self.pace: deque[float] = deque(maxlen=SLOW_SAMPLES)  # latencies over the fleet's usual one
         self.suspect_since = inf
         self.refused = False  # suspected for refused or broken connections
-        self.trial_at = 0.0
+        self.probe_at, self.blind_at, self.proved = 0.0, 0.0, False
         self.tokens, self.tokens_at = 0.0, 0.0
 
 
 class _Part:
     def __init__(self, part: api.Part, query: _Query) -> None:
-        self.id, self.shard, self.weight, self.cost, self.query = part.id, part.shard, part.weight, part.cost_ms, query
-        self.tries, self.done = 0, False
+        self.id, self.shard, self.weight, self.cost = part.id, part.shard, part.weight, part.cost_ms
+        self.query, self.tries, self.done = query, 0, False
         self.out: dict[int, tuple[int, float]] = {}  # attempt: (node, when sent)
         self.maybe_ran_since = inf  # send of the first attempt that may have run
         self.used: list[int] = []  # servers tried, in order
@@ -72,6 +75,10 @@
         self.aim_at = self.end_at = now
 
 
+def _quantile(values: list[float], sums: list[float], q: float) -> float:
+    return values[min(bisect_left(sums, q * sums[-1]), len(values) - 1)]
+
+
 class Aggregator:
     """The decisions of one broker. `step` is pure but for the state it keeps; randomness is the seed's."""
 
@@ -97,9 +104,7 @@
         self.extra: deque[float] = deque()  # further attempts made
         self.sends: deque[float] = deque()
         self.arrivals: deque[float] = deque()
-        self.answered: deque[float] = deque()  # parts answered
         self.tenant_seen: list[deque[float]] = [deque() for _ in settings.tenants]
-        self.suspects = 0
 
     def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
         self.now, self.acts = now_ms, []
@@ -156,7 +161,8 @@
         Harm: a broker that is itself cut off suspects all; MOST_EJECTED bounds that."""
         node.refused = node.refused or refused
         if node.suspect_since == inf:
-            node.suspect_since, node.trial_at = self.now, self.now
+            node.suspect_since, node.probe_at, node.proved = self.now, self.now + TRIAL_MS, False
+            node.blind_at = self.now + BLIND_MS
             self.acts.append(api.Log(f"node {node.id} ejected: {why}"))
 
     def _heard(self, node: _Node, pace: float) -> None:
@@ -172,36 +178,35 @@
             self.acts.append(api.Log(f"node {node.id} back"))
 
     def _probed(self, e: api.Probed) -> None:
-        node = self.nodes.get(e.node)
-        if node is None or node.suspect_since == inf:
-            return
-        if e.outcome == Outcome.OK:  # a process runs there; only an answered part shows that it works
-            node.trial_at = -inf
+        if e.node in self.nodes and e.outcome == Outcome.OK:
+            self.nodes[e.node].proved = True  # a process runs there; only an answered part shows that it works
 
     def _refresh(self) -> None:
-        """Once a period: the record as a distribution. Cancelled parts and those still out are right-censored:
-        their weight goes to the longer samples (product-limit estimate), so the record does not skew fast."""
+        """Once a period: what the record says."""
         self.refreshed, self.chosen = self.now, {}
+        self.latencies, self.weights = self._distribution(WINDOW_MS)
+        few = len(self.latencies) < FEW
+        self.usual = 0.0 if few else _quantile(self.latencies, self.weights, 0.5)
+        self.late = 0.0 if few else _quantile(self.latencies, self.weights, LATE_QUANTILE)
+
+    def _distribution(self, window: float) -> tuple[list[float], list[float]]:
+        """Recent part latencies and their summed weights. Cancelled parts and those still out are censored:
+        their weight goes to the longer samples (product-limit estimate), so the record does not skew fast."""
         while self.record and self.record[0][0] < self.now - WINDOW_MS:
             self.record.popleft()
-        rows = [(ms, censored) for _, ms, censored in self.record]
+        rows = [(ms, censored) for at, ms, censored in self.record if at >= self.now - window]
         rows += [(self.now - sent, True) for _, sent, _ in self.attempts.values()]
         rows.sort()
         left, values, weights = 1.0, [], []
         for i, (ms, censored) in enumerate(rows):
-            if not censored or i == len(rows) - 1:
-                share = left / (len(rows) - i)
+            if not censored:
                 values.append(ms)
-                weights.append(share)
-                left -= share
-        self.latencies, self.weights = values, list(accumulate(weights))
-        self.usual, self.late = self._quantile(0.5), self._quantile(LATE_QUANTILE)
-
-    def _quantile(self, q: float) -> float:
-        if not self.latencies:
-            return 0.0
-        at = bisect_left(self.weights, q * self.weights[-1])
-        return self.latencies[min(at, len(self.latencies) - 1)]
+                weights.append(left / (len(rows) - i))
+                left -= weights[-1]
+        if values and left > 1e-9:  # nothing longer was answered: the longest age stands for the rest
+            values.append(rows[-1][0])
+            weights.append(left)
+        return values, list(accumulate(weights))
 
     def _recent(self, times: deque[float], window: float) -> int:
         while times and times[0] < self.now - window:
@@ -261,26 +266,22 @@
         return node.tokens >= 1.0
 
     def _pick(self, part: _Part) -> _Node | None:
-        holders = [n for j in range(self.set.reach) for n in self.by_cell.get((part.shard + j) % self.set.cells, ())]
-        holders = [n for n in holders if n.id not in [node for node, _ in part.out.values()] and self._admits(n)]
-        fresh = [n for n in holders if n.id not in part.used] or holders
-        trial = self._inferred_off()
-        sound = [n for n in fresh if n.suspect_since == inf or (trial and not n.refused)]
-        due = [n for n in fresh if n.suspect_since < inf and not n.out and self._trial_due(n)]
-        if due and sound and part.query.aim_at - self.now > 4 * self.late:
-            node = due[0]
-            node.trial_at = self.now + TRIAL_MS * 4
-            return node
-        pool = sound or fresh  # all look bad: the least bad is better than none
+        cells = [(part.shard + j) % self.set.cells for j in range(min(self.set.reach, self.set.cells))]
+        busy = [node for node, _ in part.out.values()]  # no second copy beside the first
+        pool = [n for c in cells for n in self.by_cell.get(c, ()) if n.id not in busy and self._admits(n)]
+        pool = [n for n in pool if n.id not in part.used] or pool
+        if part.query.aim_at - self.now > SILENT_LATES * self.late:  # time enough to mend a trial that fails
+            for n in pool:
+                if n.suspect_since < inf and not n.out and (n.proved or self.now >= n.blind_at):
+                    n.proved, n.blind_at = False, self.now + BLIND_MS
+                    return n
+        lenient = self._inferred_off()
+        pool = [n for n in pool if n.suspect_since == inf or (lenient and not n.refused)] or pool
         if not pool:
-            return None
+            return None  # all that look bad are used before none at all; cold ones without tokens are not
         least = min(self._calls(n, True) for n in pool)
         ties = [n for n in pool if self._calls(n, True) == least]
-        riding = [n for n in ties if n.calls.get(self.now, 0)]
-        return self.rng.choice(riding or ties)
-
-    def _trial_due(self, node: _Node) -> bool:
-        return self.now >= node.trial_at + (4 * TRIAL_MS if self.set.probing and node.trial_at > 0 else TRIAL_MS)
+        return self.rng.choice([n for n in ties if n.calls.get(self.now, 0)] or ties)
 
     def _inferred_off(self) -> bool:
         ready = [n for n in self.nodes.values() if n.ready]
@@ -306,13 +307,17 @@
             seen.append(self.now)
             quota = self.set.tenants[e.tenant].quota_per_s / self.set.brokers * WINDOW_MS / 1000
             over = self._recent(seen, WINDOW_MS) > quota
-        if not query.parts or self._foreseen(query) > (REFUSE_OVER_QUOTA_AT if over else REFUSE_AT) * cls.aim_ms:
+        most = (REFUSE_OVER_QUOTA_AT if over else REFUSE_AT) * cls.aim_ms
+        if not query.parts or self._foreseen(query) > most:
             self._end(query, self._give_up(query))
             return
-        need = cls.need if cls.need < 1 else inf
+        self._ask(query)
+
+    def _ask(self, query: _Query) -> None:
+        need = self.set.classes[query.cls].need
         m, sure = 0, 0.0
         for part in sorted(query.parts, key=lambda p: p.weight):
-            if sure >= need - 5e-5:
+            if need < 1 and sure >= need - 5e-5:
                 break
             m, sure = m + 1, sure + part.weight
         r = self._redundancy(m, len(query.parts))
@@ -322,15 +327,15 @@
             self._try(part)
 
     def _foreseen(self, query: _Query) -> float:
-        """How long a query taken now would take: parts out over the rate at which they are answered (Little's
-        law). Guards against jams of any cause. Harm: none while there is room, which is never refused."""
+        """How long a query taken now would take, from the last answers and the ages of what is out. Guards
+        against jams of any cause. Harm: none while few parts are out, whatever the answers say."""
         sound = self._sound()
-        out = sum(len(n.out) for n in sound) + len(query.parts)
-        if out <= 2 * PARALLEL * len(sound) / self.set.brokers:
+        if sum(len(n.out) for n in sound) + len(query.parts) <= PARALLEL * len(sound) / self.set.brokers:
+            return 0.0
+        values, weights = self._distribution(JAM_MS)
+        if len(values) < FEW:
             return 0.0
-        rate = max(self._recent(self.answered, RATE_MS), 1) / RATE_MS
-        steps = 1.5 if self.set.classes[query.cls].second_step else 1.0
-        return steps * out / rate
+        return _quantile(values, weights, JAM_QUANTILE) * (1.5 if self.set.classes[query.cls].second_step else 1.0)
 
     def _second_step(self, e: api.MoreParts) -> None:
         self.taken.append((self.now, len(e.parts)))
@@ -366,7 +371,7 @@
         return effect.effect == "keyed" and self.now < until
 
     def _in_budget(self, share: float) -> bool:
-        """The attempt budget, counted a tick too wide for attempts and a tick too narrow for what was taken."""
+        """The attempt budget, counted a tick too wide for attempts and too narrow for what was taken."""
         s = self.set
         stated = s.extra_window_ms is not None
         window = s.extra_window_ms if s.extra_window_ms is not None else OWN_WINDOW_MS
@@ -417,7 +422,6 @@
         if e.outcome != Outcome.MOOT:
             self.record.append((self.now, took, e.outcome != Outcome.OK))
         if e.outcome == Outcome.OK:
-            self.answered.append(self.now)
             self._heard(node, took / scale / self.usual if self.usual > 0 else 1.0)
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._suspect(node, e.outcome.name.lower(), True)
@@ -441,7 +445,7 @@
             self._try(part)
 
     def _release(self, query: _Query) -> bool:
-        """A failed or late part of an any-m query is made good by a held one: a first attempt, so no extra."""
+        """A failed or late part of an any-m query is made good by a held one: a first attempt, no extra."""
         while query.held:
             if self._try(query.held.pop()):
                 return True
@@ -455,8 +459,9 @@
         for node in self.nodes.values():
             if node.ready and self.late > 0 and self.now - node.waiting_since > SILENT_LATES * self.late:
                 self._suspect(node, "silent", False)
-            if node.ready and node.suspect_since < inf and self.set.probing and self.now - node.trial_at >= TRIAL_MS:
-                node.trial_at = self.now
+            wanted = self.set.probing and node.ready and node.suspect_since < inf and not node.proved
+            if wanted and self.now >= node.probe_at:
+                node.probe_at = self.now + TRIAL_MS
                 self.acts.append(api.Probe(node.id))
         for query in list(self.queries.values()):
             if self.now >= query.end_at:
@@ -469,8 +474,8 @@
                 if not part.out:
                     self._try(part)
                     continue
-                node, sent = list(part.out.values())[-1]
-                lost = self.nodes[node].suspect_since < inf
+                where, sent = list(part.out.values())[-1]
+                lost = self.nodes[where].suspect_since < inf
                 late = self.late > 0 and self.now - sent > self.late * self._scale(part.cost)
                 if (late or lost) and not self._release(query):
                     self._try(part, 1.0 if lost else HEDGE_SHARE)
@@ -499,7 +504,7 @@
         self._end(query, api.Answer(query.id, whole))
 
     def _give_up(self, query: _Query) -> api.Action:
-        """Answers from what is in where the floor allows, else refuses if a repeat is harmless, else fails."""
+        """Answers from what is in where the floor allows, refuses if a repeat is harmless, else fails."""
         cls = self.set.classes[query.cls]
         one_step = not cls.second_step
         if query.parts and cls.floor < cls.need and query.got >= cls.floor and (one_step or query.step == 2):
