--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -35,7 +35,7 @@
 OWN_FREE, OWN_SHARE, OWN_WINDOW_MS = 5.0, 0.1, 5_000.0  # our own attempt budget where none is stated
 REPEAT_MARGIN_MS = 50.0  # keyed repeats stop this long before the server forgets the key
 JAM_MS = 2_000.0  # how far back the answers count that foretell a query's time
-JAM_QUANTILE = 0.75  # a query waits for the slowest of a few parts
+SPREAD = 1.3  # a query waits for the slowest of a few parts, not for the mean one
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
 REFUSE_OVER_QUOTA_AT = 0.35  # a tenant beyond its quota is let in only with twice that room
 
@@ -104,6 +104,7 @@
         self.extra: deque[float] = deque()  # further attempts made
         self.sends: deque[float] = deque()
         self.arrivals: deque[float] = deque()
+        self.answered: deque[float] = deque()  # parts answered
         self.tenant_seen: list[deque[float]] = [deque() for _ in settings.tenants]
 
     def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
@@ -327,15 +328,18 @@
             self._try(part)
 
     def _foreseen(self, query: _Query) -> float:
-        """How long a query taken now would take, from the last answers and the ages of what is out. Guards
-        against jams of any cause. Harm: none while few parts are out, whatever the answers say."""
+        """How long a query taken now would take: parts out over the rate at which they are answered (Little's
+        law), lost ones left out. Guards against jams of any cause. Harm: none while few parts are out."""
         sound = self._sound()
-        if sum(len(n.out) for n in sound) + len(query.parts) <= PARALLEL * len(sound) / self.set.brokers:
+        gone = self.now - SILENT_LATES * self.late
+        out = sum(1 for n in sound for sent in n.out.values() if sent > gone) + len(query.parts)
+        if not self.late or out <= 2 * PARALLEL * len(sound) / self.set.brokers:
             return 0.0
+        wait = out * JAM_MS / max(1, self._recent(self.answered, JAM_MS))
         values, weights = self._distribution(JAM_MS)
-        if len(values) < FEW:
-            return 0.0
-        return _quantile(values, weights, JAM_QUANTILE) * (1.5 if self.set.classes[query.cls].second_step else 1.0)
+        if len(values) >= FEW:  # a few queries at once are no jam while the answers are quick
+            wait = min(wait * SPREAD, 2 * _quantile(values, weights, 0.75))
+        return wait * (1.5 if self.set.classes[query.cls].second_step else 1.0)
 
     def _second_step(self, e: api.MoreParts) -> None:
         self.taken.append((self.now, len(e.parts)))
@@ -422,6 +426,7 @@
         if e.outcome != Outcome.MOOT:
             self.record.append((self.now, took, e.outcome != Outcome.OK))
         if e.outcome == Outcome.OK:
+            self.answered.append(self.now)
             self._heard(node, took / scale / self.usual if self.usual > 0 else 1.0)
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._suspect(node, e.outcome.name.lower(), True)
