--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -52,14 +52,19 @@
     def __init__(self, lines=None, seed=7, **changes):
         self.agg = Aggregator(replace(SETTINGS, **changes), seed)
         self.now, self.next_id, self.number = 1000.0, 100, 0
-        self.sent, self.log = {}, []
+        self.sent, self.log, self.due = {}, [], []
         self.tries = {}
         lines = [line(10 + c, c) for c in range(4)] if lines is None else lines
         self.do(api.View(api.ViewKind.CACHED, tuple(lines)))
 
     def do(self, *events):
-        acts = self.agg.step(self.now, list(events))
+        acts = self.agg.step(self.now, [*self.due, *events])
+        self.due = []
         for a in acts:
+            if isinstance(a, api.Cancel):
+                node, sent = self.sent[a.part, a.attempt]
+                gone = api.Outcome.CANCELLED
+                self.due.append(api.Completed(a.part, a.attempt, node, gone, self.now - sent, ()))
             if isinstance(a, api.Send):
                 n = self.tries.get(a.part, 0)
                 self.tries[a.part] = n + 1
@@ -72,7 +77,8 @@
         self.next_id += parts + 1
         self.number += 1
         ps = tuple(
-            api.Part(first + 1 + i, shard + i, weights[i] if weights else 1 / parts, cost) for i in range(parts)
+            api.Part(first + 1 + i, shard + i, weights[i] if weights else 1 / parts, cost)
+            for i in range(parts)
         )
         q = api.Query(first, self.number, cls, 0, 0, left, False, None, ps)
         return first, self.do(q)
