--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -46,7 +46,7 @@
         self.started, self.cold_since, self.tokens, self.tokens_at = -1.0, -inf, 0.0, 0.0
         self.out: dict[tuple[int, int], float] = {}  # our attempts out: when sent
         self.waiting_since = inf  # when we began to wait for the next word from it
-        self.pace: deque[float] = deque(maxlen=SLOW_SAMPLES)  # latencies over the fleet's usual one
+        self.pace: deque[float] = deque(maxlen=SLOW_SAMPLES)  # last latencies, over their cost
         self.suspect_since, self.refused = inf, False  # refused: for refused or broken connections
         self.probe_at, self.blind_at, self.proved = 0.0, 0.0, False
 
@@ -92,7 +92,7 @@
         self.attempts: dict[tuple[int, int], tuple[_Node, float, float]] = {}  # node, when sent, cost
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
-        self.usual = self.late = self.cost = 0.0  # middle and late latency; usual cost hint
+        self.usual, self.late, self.cost = inf, 0.0, 0.0  # middle and late latency; usual cost hint
         self.refreshed, self.chosen = -inf, dict[tuple[int, int], int]()
         self.seen: dict[str, deque[float]] = {}  # times of queries, taken, sends, extra, answers, tenants
 
@@ -147,12 +147,10 @@
     def _heard(self, node: _Node, pace: float) -> None:
         """A prompt answer takes a suspect back, as cold if its silence may have been a restart."""
         node.pace.append(pace)
-        if node.suspect_since < inf and pace < SLOW_FACTOR:
+        if node.suspect_since < inf and pace < SLOW_FACTOR * self.usual:
             restarted = node.refused or self.now - node.suspect_since > BLIND_MS
             node.renew(self.now, max(node.cold_since, node.suspect_since) if restarted else node.cold_since)
             self.acts.append(api.Log(f"node {node.id} back"))
-        elif len(node.pace) == SLOW_SAMPLES and sorted(node.pace)[SLOW_SAMPLES // 2] > SLOW_FACTOR:
-            self._suspect(node, "slow")
 
     def _distribution(self, window: float) -> tuple[list[float], list[float]]:
         """Recent part latencies and their summed weights. Cancelled parts and those still out are censored:
@@ -191,9 +189,13 @@
         """Once a period the record is read anew, and each r with it."""
         self.refreshed, self.chosen = self.now, {}
         self.latencies, self.weights = self._distribution(WINDOW_MS)
-        enough = len(self.latencies) >= FEW
-        marks = [_quantile(self.latencies, self.weights, q) for q in (0.5, LATE_QUANTILE) if enough]
-        self.usual, self.late = marks or (0.0, 0.0)
+        if len(self.latencies) >= FEW:
+            self.late = _quantile(self.latencies, self.weights, LATE_QUANTILE)
+        # Slow is what is slow beside the others now: a jam that slows them all ejects none.
+        middles = [(sorted(n.pace)[SLOW_SAMPLES // 2], n) for n in self._sound() if len(n.pace) == SLOW_SAMPLES]
+        self.usual = sorted(ms for ms, _ in middles)[len(middles) // 2] if middles else inf
+        for node in [n for ms, n in middles if ms > SLOW_FACTOR * self.usual]:
+            self._suspect(node, "slow")
 
     def _redundancy(self, m: int, k: int) -> int:
         """The r in m..k with the least T(r) among those with C(r) <= C(k); k without samples. Exception: m
@@ -258,7 +260,8 @@
             return None  # all that look bad are used before none at all; cold ones without tokens are not
         least = min(self._calls(n) for n in pool)
         ties = [n for n in pool if self._calls(n) == least]
-        return self.rng.choice([n for n in ties if self.now in n.out.values()] or ties)
+        riding = [n for n in ties if self.set.parts_per_call > 1 and self.now in n.out.values()]
+        return self.rng.choice(riding or ties)
 
     # -- Admission. On call: what is turned away, and only while our parts wait for servers.
     def _arrived(self, e: api.Query) -> None:
@@ -373,7 +376,7 @@
             node.waiting_since = self.now if node.out else inf
         if ok:
             self._note("answers")
-            self._heard(node, took / scale / self.usual if self.usual > 0 else 1.0)
+            self._heard(node, took / scale)
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._suspect(node, e.outcome.name.lower(), refused=True)
         part = self.parts.get(e.part)
