Hung parts no longer put off their own rescue

Cause: with a fifth of the servers hung, the censored record's 95th percentile was the age of the hung parts, so nothing was late and nobody silent; and a cancel of the last part out ended the wait for word.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -24,8 +24,8 @@
 DRAWS = 100  # resamples for the order statistics: error of a mean near a tenth of the spread
 PARALLEL = 2  # guessed parts that a server serves at once: small servers have two cores
 LATE_QUANTILE = 0.95  # a part slower than this share is late: one in twenty is helped for nothing
-SILENT_LATES = 4.0  # no word for this many times the late mark: silence, not a pause or bad luck
-SLOW_FACTOR = 3.0  # times the fleet's usual answer: more than an older kind of machine explains
+SILENT_LATES = 3.0  # no word for this many times the late mark: silence, not a pause or bad luck
+SLOW_FACTOR = 3.0  # times the usual answer: late, and more than an older kind of machine explains
 SLOW_SAMPLES = 5  # answers whose middle value says so: one costly query must not
 BLIND_MS = 5_000.0  # a suspect of this age may have restarted; so often it gets a part on trial unprobed
 MOST_EJECTED = 0.5  # more suspects than this share: the cause is load or ourselves, so none is ejected
@@ -190,12 +190,16 @@
         self.refreshed, self.chosen = self.now, {}
         self.latencies, self.weights = self._distribution(WINDOW_MS)
         if len(self.latencies) >= FEW:
-            self.late = _quantile(self.latencies, self.weights, LATE_QUANTILE)
+            # Lost parts weigh on the record's end, not on its middle: they must not put off their own rescue.
+            middle, late = (_quantile(self.latencies, self.weights, q) for q in (0.5, LATE_QUANTILE))
+            self.late = min(late, SLOW_FACTOR * middle)
         # Slow is what is slow beside the others now: a jam that slows them all ejects none.
-        middles = [(sorted(n.pace)[SLOW_SAMPLES // 2], n) for n in self._sound() if len(n.pace) == SLOW_SAMPLES]
-        self.usual = sorted(ms for ms, _ in middles)[len(middles) // 2] if middles else inf
-        for node in [n for ms, n in middles if ms > SLOW_FACTOR * self.usual]:
-            self._suspect(node, "slow")
+        full = [n for n in self._sound() if len(n.pace) == SLOW_SAMPLES]
+        middles = [sorted(n.pace)[SLOW_SAMPLES // 2] for n in full]
+        self.usual = sorted(middles)[len(middles) // 2] if middles else inf
+        for node, ms in zip(full, middles, strict=True):
+            if ms > SLOW_FACTOR * self.usual:
+                self._suspect(node, "slow")
 
     def _redundancy(self, m: int, k: int) -> int:
         """The r in m..k with the least T(r) among those with C(r) <= C(k); k without samples. Exception: m
@@ -372,7 +376,8 @@
         took, ok = self.now - sent, e.outcome == Outcome.OK
         if e.outcome != Outcome.MOOT:
             self.record.append((self.now, took, not ok))
-        if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) or not node.out:
+        word = e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL)
+        if word or (not node.out and self.now - node.waiting_since < self.late):
             node.waiting_since = self.now if node.out else inf
         if ok:
             self._note("answers")
