--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -1,7 +1,4 @@
-"""Every decision of badgerbend. Its settings, events and actions are the types of `badgerbend/api.py`.
-
-Order: constants, knowledge, mechanism (r), replica choice, admission, sending, ending queries.
-"""
+"""Every decision of badgerbend. Its settings, events and actions are the types of `badgerbend/api.py`."""
 
 from __future__ import annotations
 
@@ -16,7 +13,7 @@
 
 # -- Constants. On call: times are milliseconds; nothing here knows a deployment.
 TICK_MS = 20.0  # how often waiting work is looked at; small beside any aim, large beside a batch
-END_EARLY_MS = 30.0  # a last answer leaves this long before the client's time is up: one tick and a batch
+END_EARLY_MS = 30.0  # last answers and keyed repeats leave this long before their limit: a tick and a batch
 WINDOW_MS = 10_000.0  # the record's age limit, so that the mix before a shift is gone soon after it
 WINDOW_COUNT = 400  # and its size limit: enough for a 95th percentile, cheap to sort each second
 FEW = 20  # below so many answers the record says nothing: a 95th percentile needs twenty
@@ -31,7 +28,6 @@
 MOST_EJECTED = 0.5  # more suspects than this share: the cause is load or ourselves, so none is ejected
 HEDGE_SHARE = 0.7  # share of the budget open to hedges; the rest is kept for proven failures
 OWN_FREE, OWN_SHARE, OWN_WINDOW_MS = 5.0, 0.1, 5_000.0  # our own attempt budget where none is stated
-REPEAT_MARGIN_MS = 50.0  # keyed repeats stop this long before the server forgets the key
 JAM_MS = 2_000.0  # how far back the answers count that foretell a query's time
 SPREAD = 1.3  # a query waits for the slowest of a few parts, not for the mean one
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
@@ -48,7 +44,7 @@
         self.waiting_since = inf  # when we began to wait for the next word from it
         self.pace: deque[float] = deque(maxlen=SLOW_SAMPLES)  # last latencies, over their cost
         self.suspect_since, self.refused = inf, False  # refused: for refused or broken connections
-        self.probe_at, self.blind_at, self.proved = 0.0, 0.0, False
+        self.proved, self.blind_at = False, 0.0  # a probe came back; when a trial needs none
 
     def renew(self, now: float, cold_since: float) -> None:
         """What was held against it is void."""
@@ -81,8 +77,6 @@
 
 
 class Aggregator:
-    """The decisions of one broker. `step` is pure but for the state it keeps; randomness is the seed's."""
-
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.set, self.rng = settings, random.Random(seed)
         self.now, self.began, self.acts = 0.0, -1.0, list[api.Action]()
@@ -124,8 +118,7 @@
     def _view(self, view: api.View) -> None:
         if view.kind == api.ViewKind.FAILED:
             self.acts.append(api.Follow(True))
-            return
-        if view.kind != api.ViewKind.DELTA:  # a server missing from a whole list has left
+        elif view.kind != api.ViewKind.DELTA:  # a server missing from a whole list has left
             for node in self.nodes.values():
                 node.ready = False
         for line in view.lines:
@@ -140,8 +133,7 @@
         Harm: a broker that is itself cut off suspects all; MOST_EJECTED bounds that."""
         node.refused = node.refused or refused
         if node.suspect_since == inf:
-            node.suspect_since, node.proved = self.now, False
-            node.probe_at, node.blind_at = self.now + PERIOD_MS, self.now + BLIND_MS
+            node.suspect_since, node.proved, node.blind_at = self.now, False, self.now + BLIND_MS
             self.acts.append(api.Log(f"node {node.id} ejected: {why}"))
 
     def _heard(self, node: _Node, pace: float) -> None:
@@ -158,8 +150,7 @@
         while self.record and self.record[0][0] < self.now - WINDOW_MS:
             self.record.popleft()
         rows = [(ms, censored) for at, ms, censored in self.record if at >= self.now - window]
-        rows += [(self.now - sent, True) for _, sent, _ in self.attempts.values()]
-        rows.sort()
+        rows = sorted(rows + [(self.now - sent, True) for _, sent, _ in self.attempts.values()])
         left, values, weights = 1.0, [], []
         for i, (ms, censored) in enumerate(rows):
             if not censored:
@@ -200,6 +191,8 @@
         for node, ms in zip(full, middles, strict=True):
             if ms > SLOW_FACTOR * self.usual:
                 self._suspect(node, "slow")
+        suspects = [n for n in self.nodes.values() if n.ready and n.suspect_since < inf and not n.proved]
+        self.acts.extend(api.Probe(n.id) for n in suspects if self.set.probing)
 
     def _redundancy(self, m: int, k: int) -> int:
         """The r in m..k with the least T(r) among those with C(r) <= C(k); k without samples. Exception: m
@@ -284,11 +277,8 @@
         if not query.parts or self._foreseen(query) > most:
             self._end(query, self._give_up(query))
             return
-        m, sure = 0, 0.0
-        for part in sorted(query.parts, key=lambda p: p.weight):
-            if cls.need < 1 and sure >= cls.need - ROUNDING:
-                break
-            m, sure = m + 1, sure + part.weight
+        sums = accumulate(sorted(p.weight for p in query.parts))
+        m = 1 + sum(1 for s in sums if cls.need >= 1 or s < cls.need - ROUNDING)
         r = self._redundancy(m, len(query.parts))
         order = self.rng.sample(query.parts, len(query.parts))
         query.held = order[r:]
@@ -337,8 +327,7 @@
         if part.tries >= s.max_attempts or (part.out and not s.second_copies):
             return False
         if part.maybe_ran_since < inf and cls.effect != "safe":
-            until = part.maybe_ran_since + cls.repeat_window_ms - REPEAT_MARGIN_MS
-            if cls.effect != "keyed" or self.now > until:
+            if cls.effect != "keyed" or self.now > part.maybe_ran_since + cls.repeat_window_ms - END_EARLY_MS:
                 return False
         window, free, each = s.extra_window_ms, s.extra_free or 0.0, s.extra_share or 0.0
         if window is None:
@@ -347,6 +336,8 @@
         return made + 1 <= share * (free + each * taken)
 
     def _try(self, part: _Part, share: float = 1.0) -> bool:
+        if part.tries and part.query.held and self._try(part.query.held.pop()):
+            return True  # a held part makes good the failed or late one: a first attempt, outside the budget
         node = self._pick(part) if not part.tries or self._may_retry(part, share) else None
         if node is None:
             return False
@@ -394,13 +385,7 @@
             part.query.got, part.query.landed = part.query.got + part.weight, part.query.landed + 1
             self._settle(part.query)
         elif not part.out:
-            self._help(part, 1.0)
-
-    def _help(self, part: _Part, share: float) -> None:
-        """A failed or late part of an any-m query is made good by a held one, a first attempt and so free of
-        the budget; any other part is sent again."""
-        if not (part.query.held and self._try(part.query.held.pop())):
-            self._try(part, share)
+            self._try(part)
 
     def _tick(self) -> None:
         self.acts.append(api.SetAlarm(TICK_MS, 0))
@@ -409,10 +394,6 @@
         for node in self.nodes.values():
             if node.ready and self.late and self.now - node.waiting_since > SILENT_LATES * self.late:
                 self._suspect(node, "silent")
-            wanted = self.set.probing and node.ready and node.suspect_since < inf and not node.proved
-            if wanted and self.now >= node.probe_at:
-                node.probe_at = self.now + PERIOD_MS
-                self.acts.append(api.Probe(node.id))
         for query in list(self.queries.values()):
             if self.now >= query.end_at:
                 self._end(query, self._give_up(query))
@@ -424,15 +405,16 @@
                 last, node = list(part.out.items())[-1]
                 lost = node.suspect_since < inf
                 if lost or 0 < self.late * self._scale(part.cost) < self.now - node.out[part.id, last]:
-                    self._help(part, 1.0 if lost else HEDGE_SHARE)
+                    self._try(part, 1.0 if lost else HEDGE_SHARE)
 
     # -- Ending queries. On call: one final answer each, in time, and honest.
     def _settle(self, query: _Query) -> None:
         """Answers as soon as the parts in make the step whole."""
-        need = query.cls.need if query.step == 1 else 1.0
-        if query.landed < len(query.parts) and (need >= 1 or query.got < need - ROUNDING):
+        cls, first = query.cls, query.step == 1
+        enough = first and cls.need < 1 and query.got >= cls.need - ROUNDING
+        if not enough and query.landed < len(query.parts):
             return
-        if query.step == 1 and query.cls.second_step:
+        if first and cls.second_step:
             self.acts.append(api.Answer(query.id, True))
             self._drop_parts(query)
             query.parts, query.held = [], []
