--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -326,9 +326,9 @@
         s, cls = self.set, part.query.cls
         if part.tries >= s.max_attempts or (part.out and not s.second_copies):
             return False
-        if part.maybe_ran_since < inf and cls.effect != "safe":
-            if cls.effect != "keyed" or self.now > part.maybe_ran_since + cls.repeat_window_ms - END_EARLY_MS:
-                return False
+        until = inf if cls.effect == "safe" else part.maybe_ran_since + cls.repeat_window_ms - END_EARLY_MS
+        if part.maybe_ran_since < inf and (cls.effect == "unsafe" or self.now > until):
+            return False
         window, free, each = s.extra_window_ms, s.extra_free or 0.0, s.extra_share or 0.0
         if window is None:
             window, free, each = OWN_WINDOW_MS, OWN_FREE, OWN_SHARE
