--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -44,10 +44,10 @@
         self.waiting_since = inf  # when we began to wait for the next word from it
         self.pace: deque[float] = deque(maxlen=SLOW_SAMPLES)  # last latencies, over their cost
         self.suspect_since, self.refused = inf, False  # refused: for refused or broken connections
+        self.turned_away, self.avoid_until = 0, 0.0  # refusals and errors since its last answer
         self.proved, self.blind_at = False, 0.0  # a probe came back; when a trial needs none
 
-    def renew(self, now: float, cold_since: float) -> None:
-        """What was held against it is void."""
+    def renew(self, now: float, cold_since: float) -> None:  # what was held against it is void
         self.suspect_since, self.refused, self.cold_since = inf, False, cold_since
         self.tokens, self.tokens_at = 0.0, now
         self.pace.clear()
@@ -162,8 +162,9 @@
             weights.append(left)
         return values, list(accumulate(weights))
 
-    def _note(self, what: str) -> None:
-        self.seen.setdefault(what, deque()).append(self.now)
+    def _note(self, *names: str) -> None:
+        for what in names:
+            self.seen.setdefault(what, deque()).append(self.now)
 
     def _count(self, what: str, window: float) -> int:
         times = self.seen.setdefault(what, deque())
@@ -177,7 +178,6 @@
 
     # -- The mechanism. On call: how many parts of an any-m query are sent (Joshi et al., Definition 8).
     def _refresh(self) -> None:
-        """Once a period the record is read anew, and each r with it."""
         self.refreshed, self.chosen = self.now, {}
         self.latencies, self.weights = self._distribution(WINDOW_MS)
         if len(self.latencies) >= FEW:
@@ -243,7 +243,7 @@
     def _pick(self, part: _Part) -> _Node | None:
         cells, reach = self.set.cells, self.set.reach
         pool = [n for n in self.nodes.values() if n.ready and (n.cell - part.shard) % cells < reach]
-        pool = [n for n in pool if n not in part.out.values() and self._admits(n)]
+        pool = [n for n in pool if n not in part.out.values() and self.now >= n.avoid_until and self._admits(n)]
         pool = [n for n in pool if n not in part.used] or pool
         if part.query.aim_at - self.now > SILENT_LATES * self.late:  # time enough to mend a trial that fails
             for n in pool:
@@ -264,8 +264,7 @@
     def _arrived(self, e: api.Query) -> None:
         cls = self.set.classes[e.cls]
         query = _Query(e, cls, self.now)
-        self._note("queries")
-        self._note("taken")
+        self._note("queries", "taken")
         self.queries[query.id] = self.by_number[query.number] = query
         self._take_parts(query, e.parts)
         most = REFUSE_AT * cls.aim_ms
@@ -370,6 +369,11 @@
         word = e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL)
         if word or (not node.out and self.now - node.waiting_since < self.late):
             node.waiting_since = self.now if node.out else inf
+        # A server that turns parts away at once has none out and would draw all to it: it is let be for a
+        # while, longer each time. Harm: where all holders are full a part waits for the first to be due.
+        node.turned_away = 0 if ok else node.turned_away + (e.outcome in (Outcome.FULL, Outcome.ERROR))
+        if node.turned_away:
+            node.avoid_until = self.now + self.late * min(node.turned_away, SLOW_SAMPLES)
         if ok:
             self._note("answers")
             self._heard(node, took / scale)
@@ -409,7 +413,6 @@
 
     # -- Ending queries. On call: one final answer each, in time, and honest.
     def _settle(self, query: _Query) -> None:
-        """Answers as soon as the parts in make the step whole."""
         cls, first = query.cls, query.step == 1
         enough = first and cls.need < 1 and query.got >= cls.need - ROUNDING
         if not enough and query.landed < len(query.parts):
