No ejection for slowness

Cause: in a jam the slow mark ejected servers that still carried load (80 ejections and as many returns in a 40 s incident). Fewest-out already gives a slow server what it can do. Harm to look for: a very slow server with few parts out.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -22,8 +22,8 @@
 PARALLEL = 2  # guessed parts that a server serves at once: small servers have two cores
 LATE_QUANTILE = 0.95  # a part slower than this share is late: one in twenty is helped for nothing
 SILENT_LATES = 3.0  # no word for this many times the late mark: silence, not a pause or bad luck
-SLOW_FACTOR = 3.0  # times the usual answer: late, and more than an older kind of machine explains
-SLOW_SAMPLES = 5  # answers whose middle value says so: one costly query must not
+LATE_MIDDLES = 3.0  # so many times the middle answer is late whatever the record's end says
+AVOID_LATES = 5  # a server that turns parts away is let be for so many late marks at most
 BLIND_MS = 5_000.0  # a suspect of this age may have restarted; so often it gets a part on trial unprobed
 MOST_EJECTED = 0.5  # more suspects than this share: the cause is load or ourselves, so none is ejected
 HEDGE_SHARE = 0.7  # share of the budget open to hedges; the rest is kept for proven failures
@@ -42,7 +42,6 @@
         self.started, self.cold_since, self.tokens, self.tokens_at = -1.0, -inf, 0.0, 0.0
         self.out: dict[tuple[int, int], float] = {}  # our attempts out: when sent
         self.waiting_since = inf  # when we began to wait for the next word from it
-        self.pace: deque[float] = deque(maxlen=SLOW_SAMPLES)  # last latencies, over their cost
         self.suspect_since, self.refused = inf, False  # refused: for refused or broken connections
         self.turned_away, self.avoid_until = 0, 0.0  # refusals and errors since its last answer
         self.proved, self.blind_at = False, 0.0  # a probe came back; when a trial needs none
@@ -50,7 +49,6 @@
     def renew(self, now: float, cold_since: float) -> None:  # what was held against it is void
         self.suspect_since, self.refused, self.cold_since = inf, False, cold_since
         self.tokens, self.tokens_at = 0.0, now
-        self.pace.clear()
 
 
 class _Part:
@@ -83,10 +81,10 @@
         self.nodes: dict[int, _Node] = {}
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.parts: dict[int, _Part] = {}
-        self.attempts: dict[tuple[int, int], tuple[_Node, float, float]] = {}  # node, when sent, cost
+        self.attempts: dict[tuple[int, int], tuple[_Node, float]] = {}  # node, when sent
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
-        self.usual, self.late, self.cost = inf, 0.0, 0.0  # middle and late latency; usual cost hint
+        self.late = self.cost = 0.0  # late mark (0: not known yet); usual cost hint
         self.refreshed, self.chosen = -inf, dict[tuple[int, int], int]()
         self.seen: dict[str, deque[float]] = {}  # times of queries, taken, sends, extra, answers, tenants
 
@@ -129,17 +127,17 @@
             node.cell, node.ready = line.cell, line.state == api.NodeState.READY
 
     def _suspect(self, node: _Node, why: str, refused: bool = False) -> None:
-        """Ejects a server that refuses connections, is silent, or is slow; `_heard` takes it back.
+        """Ejects a server that refuses connections or is silent; `_heard` takes it back. A slow one keeps its
+        part: fewest-out gives it what it can do, and in a jam an ejection loses work that it still did.
         Harm: a broker that is itself cut off suspects all; MOST_EJECTED bounds that."""
         node.refused = node.refused or refused
         if node.suspect_since == inf:
             node.suspect_since, node.proved, node.blind_at = self.now, False, self.now + BLIND_MS
             self.acts.append(api.Log(f"node {node.id} ejected: {why}"))
 
-    def _heard(self, node: _Node, pace: float) -> None:
-        """A prompt answer takes a suspect back, as cold if its silence may have been a restart."""
-        node.pace.append(pace)
-        if node.suspect_since < inf and pace < SLOW_FACTOR * self.usual:
+    def _heard(self, node: _Node) -> None:
+        """An answer takes a suspect back, as cold if its silence may have been a restart."""
+        if node.suspect_since < inf:
             restarted = node.refused or self.now - node.suspect_since > BLIND_MS
             node.renew(self.now, max(node.cold_since, node.suspect_since) if restarted else node.cold_since)
             self.acts.append(api.Log(f"node {node.id} back"))
@@ -150,7 +148,7 @@
         while self.record and self.record[0][0] < self.now - WINDOW_MS:
             self.record.popleft()
         rows = [(ms, censored) for at, ms, censored in self.record if at >= self.now - window]
-        rows = sorted(rows + [(self.now - sent, True) for _, sent, _ in self.attempts.values()])
+        rows = sorted(rows + [(self.now - sent, True) for _, sent in self.attempts.values()])
         left, values, weights = 1.0, [], []
         for i, (ms, censored) in enumerate(rows):
             if not censored:
@@ -183,14 +181,7 @@
         if len(self.latencies) >= FEW:
             # Lost parts weigh on the record's end, not on its middle: they must not put off their own rescue.
             middle, late = (_quantile(self.latencies, self.weights, q) for q in (0.5, LATE_QUANTILE))
-            self.late = min(late, SLOW_FACTOR * middle)
-        # Slow is what is slow beside the others now: a jam that slows them all ejects none.
-        full = [n for n in self._sound() if len(n.pace) == SLOW_SAMPLES]
-        middles = [sorted(n.pace)[SLOW_SAMPLES // 2] for n in full]
-        self.usual = sorted(middles)[len(middles) // 2] if middles else inf
-        for node, ms in zip(full, middles, strict=True):
-            if ms > SLOW_FACTOR * self.usual:
-                self._suspect(node, "slow")
+            self.late = min(late, LATE_MIDDLES * middle)
         suspects = [n for n in self.nodes.values() if n.ready and n.suspect_since < inf and not n.proved]
         self.acts.extend(api.Probe(n.id) for n in suspects if self.set.probing)
 
@@ -243,7 +234,8 @@
     def _pick(self, part: _Part) -> _Node | None:
         cells, reach = self.set.cells, self.set.reach
         pool = [n for n in self.nodes.values() if n.ready and (n.cell - part.shard) % cells < reach]
-        pool = [n for n in pool if n not in part.out.values() and self.now >= n.avoid_until and self._admits(n)]
+        pool = [n for n in pool if n not in part.out.values() and self.now >= n.avoid_until]
+        pool = [n for n in pool if self._admits(n)]
         pool = [n for n in pool if n not in part.used] or pool
         if part.query.aim_at - self.now > SILENT_LATES * self.late:  # time enough to mend a trial that fails
             for n in pool:
@@ -342,8 +334,8 @@
             return False
         self._note("extra" if part.tries else "first")
         node.tokens -= self._warmth(node) < 1.0
-        key, scale = (part.id, part.tries), self._scale(part.cost)
-        self.attempts[key] = (node, self.now, scale)
+        key = (part.id, part.tries)
+        self.attempts[key] = (node, self.now)
         node.out[key] = self.now
         node.waiting_since = min(node.waiting_since, self.now)
         part.out[part.tries] = node
@@ -353,7 +345,7 @@
         self._note("sends")
         cap = part.query.end_at - self.now
         if not self.set.second_copies and self.late:  # a late attempt must end before another may follow
-            cap = min(cap, SILENT_LATES * self.late * scale)
+            cap = min(cap, SILENT_LATES * self.late * self._scale(part.cost))
         self.acts.append(api.Send(part.id, node.id, max(cap, 1.0)))
         return True
 
@@ -361,7 +353,7 @@
         attempt = self.attempts.pop((e.part, e.attempt), None)
         if attempt is None:
             return
-        node, sent, scale = attempt
+        node, sent = attempt
         node.out.pop((e.part, e.attempt))
         took, ok = self.now - sent, e.outcome == Outcome.OK
         if e.outcome != Outcome.MOOT:
@@ -373,10 +365,10 @@
         # while, longer each time. Harm: where all holders are full a part waits for the first to be due.
         node.turned_away = 0 if ok else node.turned_away + (e.outcome in (Outcome.FULL, Outcome.ERROR))
         if node.turned_away:
-            node.avoid_until = self.now + self.late * min(node.turned_away, SLOW_SAMPLES)
+            node.avoid_until = self.now + self.late * min(node.turned_away, AVOID_LATES)
         if ok:
             self._note("answers")
-            self._heard(node, took / scale)
+            self._heard(node)
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._suspect(node, e.outcome.name.lower(), refused=True)
         part = self.parts.get(e.part)
