--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -287,7 +287,7 @@
         wait = out * JAM_MS / max(1, self._count("answers", JAM_MS))
         values, weights = self._distribution(JAM_MS)
         if values:  # many queries at once are no jam while the answers are quick
-            wait = min(SPREAD * wait, 2 * _quantile(values, weights, 0.75))
+            wait = SPREAD * min(wait, _quantile(values, weights, 0.75))
         return wait * (1.5 if query.cls.second_step else 1.0)
 
     def _second_step(self, e: api.MoreParts) -> None:
