Parts given up on late still count as out on their server

Cause: their parts are late, rescued and called off, so the server has none out and fewest-out picks it again; told from refusals by the times (0.6 to 1 s). Change: such a part counts until an answer overtakes it. Should also answer servers that lose parts. Harm: after a stall a server is passed over until it has answered.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -44,11 +44,12 @@
         self.waiting_since = inf  # when we began to wait for the next word from it
         self.suspect_since, self.refused = inf, False  # refused: for refused or broken connections
         self.turned_away, self.avoid_until = 0, 0.0  # refusals and errors since its last answer
+        self.left: list[float] = []  # send times of parts given up on there late: it may work on them yet
         self.proved, self.blind_at = False, 0.0  # a probe came back; when a trial needs none
 
     def renew(self, now: float, cold_since: float) -> None:  # what was held against it is void
         self.suspect_since, self.refused, self.cold_since = inf, False, cold_since
-        self.tokens, self.tokens_at = 0.0, now
+        self.tokens, self.tokens_at, self.left = 0.0, now, []
 
 
 class _Part:
@@ -210,8 +211,10 @@
         return [n for n in self.nodes.values() if n.ready and n.suspect_since == inf]
 
     def _calls(self, node: _Node) -> int:
-        """Calls out to a server after one more part, which may ride on a call of this turn."""
-        calls = Counter([*node.out.values(), self.now])
+        """Calls out to a server after one more part, which may ride on a call of this turn. Parts given up on
+        late count until an answer overtakes them: else a bad server looks idle and draws all to it."""
+        left = [sent for sent in node.left if sent > self.now - BLIND_MS]
+        calls = Counter([*node.out.values(), *left, self.now])
         return sum(-(-n // self.set.parts_per_call) for n in calls.values())
 
     def _warmth(self, node: _Node) -> float:
@@ -364,13 +367,15 @@
         # A server that turns parts away at once has none out and would draw all to it: it is let be for a
         # while, longer each time. Harm: where all holders are full a part waits for the first to be due.
         node.turned_away = 0 if ok else node.turned_away + (e.outcome in (Outcome.FULL, Outcome.ERROR))
-        if node.turned_away:
-            node.avoid_until = self.now + self.late * min(node.turned_away, AVOID_LATES)
+        node.avoid_until = self.now + self.late * min(node.turned_away, AVOID_LATES)
         if ok:
             self._note("answers")
+            node.left = [other for other in node.left if other > sent]
             self._heard(node)
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._suspect(node, e.outcome.name.lower(), refused=True)
+        elif not e.outcome.never_ran and took > self.late > 0:
+            node.left.append(sent)
         part = self.parts.get(e.part)
         if part is None or part.out.pop(e.attempt, None) is None or part.done:
             return
