--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -149,7 +149,8 @@
         while self.record and self.record[0][0] < self.now - WINDOW_MS:
             self.record.popleft()
         rows = [(ms, censored) for at, ms, censored in self.record if at >= self.now - window]
-        rows = sorted(rows + [(self.now - sent, True) for _, sent in self.attempts.values()])
+        out = [sent for n, sent in self.attempts.values() if n.suspect_since == inf]
+        rows = sorted(rows + [(self.now - sent, True) for sent in out])
         left, values, weights = 1.0, [], []
         for i, (ms, censored) in enumerate(rows):
             if not censored:
@@ -247,13 +248,11 @@
                     return n
         bad = [n.suspect_since < inf and not n.refused for n in self.nodes.values() if n.ready]
         lenient = sum(bad) > MOST_EJECTED * len(bad)
-        pool = [n for n in pool if n.suspect_since == inf or (lenient and not n.refused)] or pool
-        if not pool:
-            return None  # all that look bad are used before none at all; cold ones without tokens are not
-        least = min(self._calls(n) for n in pool)
+        pool = [n for n in pool if n.suspect_since == inf or (lenient and not n.refused)] or pool  # or bad ones
+        least = min((self._calls(n) for n in pool), default=0)
         ties = [n for n in pool if self._calls(n) == least]
         riding = [n for n in ties if self.set.parts_per_call > 1 and self.now in n.out.values()]
-        return self.rng.choice(riding or ties)
+        return self.rng.choice(riding or ties) if ties else None
 
     # -- Admission. On call: what is turned away, and only while our parts wait for servers.
     def _arrived(self, e: api.Query) -> None:
