--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -223,14 +223,14 @@
         return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * share)
 
     def _admits(self, node: _Node) -> bool:
-        """Slow start: a cold server gets tokens at the pace at which we feed a warm one, times the warmth it
-        has at least. All brokers doing so give it no more than its part of the load, under the multiple that
-        fells it. Harm: the shards of a cold set wait while it warms."""
+        """Slow start: a cold server gets tokens at half the multiple that fells it of the pace at which we feed
+        a warm one, times the warmth it has at least; all brokers doing so keep it under the multiple.
+        Harm: the shards of a cold set wait while it warms."""
         warmth = self._warmth(node)
         if warmth >= 1.0:
             return True
         warm = max(1, sum(1 for n in self._sound() if self._warmth(n) >= 1.0))
-        pace = self._rate("sends") / warm * min(1.0, self.set.overload_factor / 2)
+        pace = self._rate("sends") / warm * self.set.overload_factor / 2
         node.tokens = min(1.0, node.tokens + pace * warmth * (self.now - node.tokens_at))
         node.tokens_at = self.now
         return node.tokens >= 1.0
@@ -248,7 +248,8 @@
                     return n
         bad = [n.suspect_since < inf and not n.refused for n in self.nodes.values() if n.ready]
         lenient = sum(bad) > MOST_EJECTED * len(bad)
-        pool = [n for n in pool if n.suspect_since == inf or (lenient and not n.refused)] or pool  # or bad ones
+        # All that look bad are used before none at all; cold ones without tokens are not.
+        pool = [n for n in pool if n.suspect_since == inf or (lenient and not n.refused)] or pool
         least = min((self._calls(n) for n in pool), default=0)
         ties = [n for n in pool if self._calls(n) == least]
         riding = [n for n in ties if self.set.parts_per_call > 1 and self.now in n.out.values()]
