Refused and broken connections: let be, then fed as cold

Cause: with all holders of a shard refused, the last resort sent to them at once and without limit; told from silence by the reset and connect outcomes. Change: such a server is let be like a full one, and counts as cold.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -219,12 +219,14 @@
         return sum(-(-n // self.set.parts_per_call) for n in calls.values())
 
     def _warmth(self, node: _Node) -> float:
+        if node.refused:  # it may be starting now, and the list not know yet
+            return self.set.cold_from
         share = max(self.now - node.cold_since, 0.0) / max(self.set.cold_ms, 1.0)
         return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * share)
 
     def _admits(self, node: _Node) -> bool:
-        """Slow start: a cold server gets tokens at half the multiple that fells it of the pace at which we feed
-        a warm one, times the warmth it has at least; all brokers doing so keep it under the multiple.
+        """Slow start: a cold server gets tokens at the pace at which we feed a warm one, times the warmth it has
+        at least, times half the multiple that fells it; so all brokers together stay under that multiple.
         Harm: the shards of a cold set wait while it warms."""
         warmth = self._warmth(node)
         if warmth >= 1.0:
@@ -250,8 +252,7 @@
         lenient = sum(bad) > MOST_EJECTED * len(bad)
         # All that look bad are used before none at all; cold ones without tokens are not.
         pool = [n for n in pool if n.suspect_since == inf or (lenient and not n.refused)] or pool
-        least = min((self._calls(n) for n in pool), default=0)
-        ties = [n for n in pool if self._calls(n) == least]
+        ties = [n for n in pool if self._calls(n) == min(self._calls(m) for m in pool)]
         riding = [n for n in ties if self.set.parts_per_call > 1 and self.now in n.out.values()]
         return self.rng.choice(riding or ties) if ties else None
 
@@ -359,14 +360,14 @@
         node, sent = attempt
         node.out.pop((e.part, e.attempt))
         took, ok = self.now - sent, e.outcome == Outcome.OK
-        if e.outcome != Outcome.MOOT:
-            self.record.append((self.now, took, not ok))
+        self.record.append((self.now, took, not ok))
         word = e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL)
         if word or (not node.out and self.now - node.waiting_since < self.late):
             node.waiting_since = self.now if node.out else inf
         # A server that turns parts away at once has none out and would draw all to it: it is let be for a
         # while, longer each time. Harm: where all holders are full a part waits for the first to be due.
-        node.turned_away = 0 if ok else node.turned_away + (e.outcome in (Outcome.FULL, Outcome.ERROR))
+        quick = (Outcome.FULL, Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET)
+        node.turned_away = 0 if ok else node.turned_away + (e.outcome in quick)
         node.avoid_until = self.now + self.late * min(node.turned_away, AVOID_LATES)
         if ok:
             self._note("answers")
@@ -423,8 +424,7 @@
 
     def _give_up(self, query: _Query) -> api.Action:
         """Answers from what is in where the floor allows, refuses if a repeat is harmless, else fails."""
-        cls = query.cls
-        last_step = query.step == 2 or not cls.second_step
+        cls, last_step = query.cls, query.step == 2 or not query.cls.second_step
         if last_step and query.parts and cls.floor < cls.need and query.got >= cls.floor:
             return api.Answer(query.id, False)
         if cls.effect == "safe" or all(p.maybe_ran_since == inf and not p.out for p in query.parts):
