--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -225,7 +225,7 @@
         return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * share)
 
     def _admits(self, node: _Node) -> bool:
-        """Slow start: a cold server gets tokens at the pace at which we feed a warm one, times the warmth it has
+        """Slow start: a cold server gets tokens at our pace to a warm one, times the warmth it has
         at least, times half the multiple that fells it; so all brokers together stay under that multiple.
         Harm: the shards of a cold set wait while it warms."""
         warmth = self._warmth(node)
