--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,117 @@
+"""The arithmetic of the mechanism, and the replica choice."""
+
+from conftest import ALL, ANY, Bench, line, of
+
+from badgerbend import api
+from badgerbend.api import Outcome
+
+
+def ready(values, brokers=2, queries=0):
+    b = Bench(brokers=brokers)
+    agg = b.agg
+    agg.latencies, agg.weights = list(values), [(i + 1) / len(values) for i in range(len(values))]
+    agg.began = b.now - 10_000
+    agg.seen["queries"] = agg.seen.get("queries", type(agg.record)())
+    agg.seen["queries"].extend([b.now] * queries)
+    agg.now = b.now
+    return agg
+
+
+def test_without_samples_all_parts_are_asked():
+    b = Bench()
+    _, sends = b.query(ANY)
+    assert len(of(api.Send, sends)) == 4
+
+
+def test_equal_latencies_leave_the_least_cost_only_with_r_equal_to_m():
+    # All X alike: T(r) grows with r through the load term alone, so the least T is at m.
+    assert ready([100.0] * 30, queries=10)._redundancy(2, 4) == 2
+
+
+def test_a_long_tail_asks_for_spares_while_load_is_light():
+    values = [50.0] * 24 + [2000.0] * 6
+    assert ready(values, queries=2)._redundancy(2, 4) > 2
+
+
+def test_no_room_for_even_m_asks_for_m_only():
+    values = [500.0] * 24 + [3000.0] * 6
+    assert ready(values, queries=5000)._redundancy(2, 4) == 2
+
+
+def test_cost_stays_within_that_of_all_parts():
+    # Two thirds slow: m of k waits for a slow part at small r, and each r must cost no more than k does.
+    values = [10.0] * 10 + [1000.0] * 20
+    agg = ready(values, queries=1)
+    assert agg._redundancy(1, 4) == 4
+
+
+def test_cancelled_parts_do_not_make_the_record_fast():
+    b = Bench()
+    b.agg.now = b.now
+    for ms in (50.0,) * 10 + (400.0,) * 10:
+        b.agg.record.append((b.now, ms, False))
+    plain = b.agg._distribution(10_000.0)
+    for _ in range(20):
+        b.agg.record.append((b.now, 60.0, True))
+    values, sums = b.agg._distribution(10_000.0)
+    fast = sum(1 for v in values if v < 100)
+    assert sums[-1] > 0.999 and abs(sums[fast - 1] - 0.5) < 0.3
+    assert sums[fast - 1] <= plain[1][9] + 1e-9  # called off at 60: they belong to the slow half
+
+
+def test_answers_at_m_and_cancels_the_rest():
+    b = Bench()
+    q, sends = b.query(ANY)
+    parts = [a.part for a in of(api.Send, sends)]
+    b.finish(parts[0])
+    acts = b.finish(parts[1])
+    assert of(api.Answer, acts) == [api.Answer(q, True)]
+    assert {a.part for a in of(api.Cancel, acts)} == set(parts[2:])
+
+
+def test_each_part_goes_to_the_holder_with_fewest_out():
+    b = Bench()
+    _, sends = b.query(ALL)
+    assert sorted(a.node for a in of(api.Send, sends)) == [10, 11, 12, 13]
+
+
+def test_parts_that_can_share_a_call_ride_together():
+    b = Bench(parts_per_call=16)
+    _, sends = b.query(ALL)
+    assert len({a.node for a in of(api.Send, sends)}) == 1
+
+
+def test_only_holders_are_asked():
+    b = Bench(reach=1)
+    _, sends = b.query(ALL)
+    q = min(a.part for a in of(api.Send, sends)) - 1
+    assert all(a.node == 10 + a.part - q - 1 for a in of(api.Send, sends))
+
+
+def test_held_part_replaces_a_failed_one_without_budget():
+    b = Bench(extra_free=0.0, extra_share=0.0)
+    b.learn()
+    b.agg.chosen[2, 4] = 2
+    q, sends = b.query(ANY)
+    first = of(api.Send, sends)
+    assert len(first) == 2
+    again = of(api.Send, b.finish(first[0].part, Outcome.ERROR))
+    assert len(again) == 1 and again[0].part not in {a.part for a in first}
+
+
+def test_same_events_same_actions():
+    runs = []
+    for _ in range(2):
+        b = Bench(seed=3)
+        b.learn()
+        b.query(ANY)
+        b.wait(500.0)
+        runs.append(b.log)
+    assert runs[0] == runs[1]
+
+
+def test_a_list_with_no_holder_of_a_shard_does_not_lose_the_query():
+    b = Bench(lines=[line(10, 0)], reach=1)
+    q, sends = b.query(ALL, parts=2, left=500.0)
+    assert len(of(api.Send, sends)) == 1
+    assert of(api.Refuse, b.wait(500.0)) == [api.Refuse(q, 0.0)]
