--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -147,7 +147,8 @@
     reply = benchlink.Reply()
     reply.write([
         api.Send(1, 2, 3.0), api.SetAlarm(1.0, 2), api.Cancel(1, 0), api.Answer(1, False),
-        api.Refuse(1, 5.0), api.Fail(1), api.Probe(2), api.CloseIdle(2), api.Tell(None, b"hi 7"), api.Follow(True), api.ReadList(),
+        api.Refuse(1, 5.0), api.Fail(1), api.Probe(2), api.CloseIdle(2), api.Tell(None, b"hi 7"),
+        api.Follow(True), api.ReadList(),
         api.Log("two servers known"),
     ])  # fmt: skip
     acts, tail = parse(reply.frame())
