Suspects' silence no longer enters the record

Cause: called-off parts on suspects, aged by the rescue, moved the third quartile of the last 2 s over the mark; told from load by the p50 of the answers (0.3 s).

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -79,9 +79,8 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.set, self.rng = settings, random.Random(seed)
         self.now, self.began, self.acts = 0.0, -1.0, list[api.Action]()
-        self.nodes: dict[int, _Node] = {}
+        self.nodes, self.parts = dict[int, _Node](), dict[int, _Part]()
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
-        self.parts: dict[int, _Part] = {}
         self.attempts: dict[tuple[int, int], tuple[_Node, float]] = {}  # node, when sent
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
@@ -360,7 +359,8 @@
         node, sent = attempt
         node.out.pop((e.part, e.attempt))
         took, ok = self.now - sent, e.outcome == Outcome.OK
-        self.record.append((self.now, took, not ok))
+        if ok or node.suspect_since == inf:  # a suspect's silence says nothing of the servers in use
+            self.record.append((self.now, took, not ok))
         word = e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL)
         if word or (not node.out and self.now - node.waiting_since < self.late):
             node.waiting_since = self.now if node.out else inf
