--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -31,7 +31,7 @@
 JAM_MS = 2_000.0  # how far back the answers count that foretell a query's time
 SPREAD = 1.3  # a query waits for the slowest of a few parts, not for the mean one
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
-REFUSE_OVER_QUOTA_AT = 0.35  # a tenant beyond its quota is let in only with twice that room
+REFUSE_OVER_QUOTA_AT = 0.5  # a tenant beyond its quota is let in only with twice that room
 ROUNDING = 5e-5  # sums of weights may come up short by this
 
 
@@ -282,15 +282,15 @@
     def _foreseen(self, query: _Query) -> float:
         """How long a query taken now would take: parts out over the rate at which they are answered (Little's
         law), lost ones left out. Guards against jams of any cause. Harm: none while few parts are out."""
-        sound = self._sound()
-        gone = self.now - SILENT_LATES * self.late
+        sound, gone = self._sound(), self.now - SILENT_LATES * self.late
         out = sum(1 for n in sound for sent in n.out.values() if sent > gone) + len(query.parts)
         if not self.late or out <= 2 * PARALLEL * len(sound) / self.set.brokers:
             return 0.0
         wait = out * JAM_MS / max(1, self._count("answers", JAM_MS))
         values, weights = self._distribution(JAM_MS)
         if values:  # many queries at once are no jam while the answers are quick
-            wait = SPREAD * min(wait, _quantile(values, weights, 0.75))
+            k = len(query.parts)  # by the order statistic of its parts
+            wait = min(SPREAD * wait, _quantile(values, weights, query.cls.need * k / (k + 1)))
         return wait * (1.5 if query.cls.second_step else 1.0)
 
     def _second_step(self, e: api.MoreParts) -> None:
