--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -371,7 +371,7 @@
         node.avoid_until = self.now + self.late * min(node.turned_away, AVOID_LATES)
         if ok:
             self._note("answers")
-            node.left = [other for other in node.left if other > sent]
+            del node.left[:1]
             self._heard(node)
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._suspect(node, e.outcome.name.lower(), refused=True)
