--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -29,9 +29,9 @@
 HEDGE_SHARE = 0.7  # share of the budget open to hedges; the rest is kept for proven failures
 OWN_FREE, OWN_SHARE, OWN_WINDOW_MS = 5.0, 0.1, 5_000.0  # our own attempt budget where none is stated
 JAM_MS = 2_000.0  # how far back the answers count that foretell a query's time
-SPREAD = 1.3  # a query waits for the slowest of a few parts, not for the mean one
+SPREAD = 1.3  # Little's law gives the mean part's time, and a query waits for its slowest
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
-REFUSE_OVER_QUOTA_AT = 0.5  # a tenant beyond its quota is let in only with twice that room
+REFUSE_OVER_QUOTA_AT = 0.5  # sooner for a tenant beyond its quota: what it adds is worth little
 ROUNDING = 5e-5  # sums of weights may come up short by this
 
 
@@ -212,7 +212,7 @@
 
     def _calls(self, node: _Node) -> int:
         """Calls out to a server after one more part, which may ride on a call of this turn. Parts given up on
-        late count until an answer overtakes them: else a bad server looks idle and draws all to it."""
+        late count until answers make up for them: else a bad server looks idle and draws all to it."""
         left = [sent for sent in node.left if sent > self.now - BLIND_MS]
         calls = Counter([*node.out.values(), *left, self.now])
         return sum(-(-n // self.set.parts_per_call) for n in calls.values())
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -78,6 +78,43 @@
     assert b.agg._calls(node) == idle
 
 
+def test_an_answer_pays_for_one_part_given_up_on():
+    b = Bench()
+    _, sends = b.query(ALL)
+    a = of(api.Send, sends)[0]
+    b.agg.nodes[a.node].left = [b.now - 30.0, b.now - 20.0]
+    b.finish(a.part)
+    assert b.agg.nodes[a.node].left == [b.now - 20.0]
+
+
+def test_a_suspects_silence_says_nothing_of_the_servers_in_use():
+    # A third of the servers hung: their aged parts made the sound ones look jammed, and half was refused.
+    b = Bench()
+    _, sends = b.query(ALL)
+    a, other = of(api.Send, sends)[:2]
+    b.agg._suspect(b.agg.nodes[a.node], "silent")
+    before = len(b.agg.record)
+    b.finish(a.part, Outcome.TIMEOUT)
+    assert len(b.agg.record) == before
+    b.finish(other.part, Outcome.TIMEOUT)
+    assert len(b.agg.record) == before + 1
+
+
+def test_foreseen_time_follows_the_order_statistic_of_the_query():
+    # One part in five is slow: a query that needs all waits for it, one that needs half does not.
+    b = Bench()
+    b.learn(ms=40.0, queries=40)
+    b.agg.late = 5000.0
+    b.agg.record.clear()
+    b.agg.record.extend([(b.now, 50.0, False)] * 78 + [(b.now, 2500.0, False)] * 22)
+    for i in range(40):
+        b.agg.nodes[10 + i % 4].out[999_000 + i, 0] = b.now
+    _, acts = b.query(ANY)
+    assert of(api.Send, acts)
+    _, acts = b.query(ALL)
+    assert of(api.Refuse, acts)
+
+
 def test_refused_connections_leave_the_server_alone_for_a_while():
     b = Bench(lines=[line(10, 0)], reach=1, cells=1, extra_free=1000.0, max_attempts=50)
     b.learn(queries=10)
