--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -7,49 +7,45 @@
 from collections import Counter, deque
 from itertools import accumulate
 from math import inf, isfinite
+from statistics import median
 
 from badgerbend import api
 from badgerbend.api import Outcome
 
 # -- Constants. On call: times are milliseconds; nothing here knows a deployment.
 TICK_MS = 20.0  # how often waiting work is looked at; small beside any aim, large beside a batch
+AGAIN_MS = 100.0  # what could not be sent is tried again so often
 END_EARLY_MS = 30.0  # last answers and keyed repeats leave this long before their limit: a tick and a batch
 WINDOW_MS = 10_000.0  # the record's age limit, so that the mix before a shift is gone soon after it
 WINDOW_COUNT = 400  # and its size limit: enough for a 95th percentile, cheap to sort each second
 FEW = 20  # below so many answers the record says nothing: a 95th percentile needs twenty
-PERIOD_MS = 1_000.0  # the design's period for choosing r; suspects are probed as often
+PERIOD_MS = 1_000.0  # the design's period for choosing r
 DRAWS = 100  # resamples for the order statistics: error of a mean near a tenth of the spread
 PARALLEL = 2  # guessed parts that a server serves at once: small servers have two cores
 LATE_QUANTILE = 0.95  # a part slower than this share is late: one in twenty is helped for nothing
-SILENT_LATES = 3.0  # no word for this many times the late mark: silence, not a pause or bad luck
+CUT_LATES = 3.0  # where no second copy is allowed, an attempt is cut after so many late marks
 LATE_MIDDLES = 3.0  # so many times the middle answer is late whatever the record's end says
-AVOID_LATES = 5  # a server that turns parts away is let be for so many late marks at most
-BLIND_MS = 5_000.0  # a suspect of this age may have restarted; so often it gets a part on trial unprobed
-MOST_EJECTED = 0.5  # more suspects than this share: the cause is load or ourselves, so none is ejected
-HEDGE_SHARE = 0.7  # share of the budget open to hedges; the rest is kept for proven failures
-OWN_FREE, OWN_SHARE, OWN_WINDOW_MS = 5.0, 0.1, 5_000.0  # our own attempt budget where none is stated
-JAM_MS = 2_000.0  # how far back the answers count that foretell a query's time
-SPREAD = 1.3  # Little's law gives the mean part's time, and a query waits for its slowest
+FADE_MS = 10_000.0  # what a server's answers took counts half after this
+LAST_WEIGHT = 0.4  # and the last of them so much: three tell a slow server from a slow part
+SLOW_CALLS = 4.0  # a slow server counts as so many more calls out at most
+DEATHS_MS = 20_000.0  # so long after a server died under a query new ones send a scout
+RISK_SHARE = 0.05  # second copies as a share of the parts taken, where none is first to answer
+RISK_MOST = 5.0  # what can be saved up of it
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
 REFUSE_OVER_QUOTA_AT = 0.5  # sooner for a tenant beyond its quota: what it adds is worth little
+SECOND_STEP = 1.5  # a second step has fewer and lighter parts than the first
+COST_WEIGHT = 0.05  # of a new cost hint in the usual one: the last twenty parts count
 ROUNDING = 5e-5  # sums of weights may come up short by this
 
 
 # -- Knowledge. On call: what this broker has seen; none of it outlives a restart.
 class _Node:
     def __init__(self, line: api.NodeLine) -> None:
-        self.id, self.cell, self.ready = line.node, line.cell, False
-        self.started, self.cold_since, self.tokens, self.tokens_at = -1.0, -inf, 0.0, 0.0
+        self.id, self.cell, self.ready, self.started = line.node, line.cell, False, -1.0
+        self.cold_since, self.tokens, self.tokens_at = -inf, 0.0, 0.0
         self.out: dict[tuple[int, int], float] = {}  # our attempts out: when sent
-        self.waiting_since = inf  # when we began to wait for the next word from it
-        self.suspect_since, self.refused = inf, False  # refused: for refused or broken connections
-        self.turned_away, self.avoid_until = 0, 0.0  # refusals and errors since its last answer
-        self.left: list[float] = []  # send times of parts given up on there late: it may work on them yet
-        self.proved, self.blind_at = False, 0.0  # a probe came back; when a trial needs none
-
-    def renew(self, now: float, cold_since: float) -> None:  # what was held against it is void
-        self.suspect_since, self.refused, self.cold_since = inf, False, cold_since
-        self.tokens, self.tokens_at, self.left = 0.0, now, []
+        self.died_at = inf  # when it first refused or broke connections since it was heard
+        self.time, self.time_at = 0.0, -inf  # what a usual part took there lately, and when that was seen
 
 
 class _Part:
@@ -57,6 +53,7 @@
         self.id, self.shard, self.weight, self.cost = part.id, part.shard, part.weight, part.cost_ms
         self.query, self.tries, self.done = query, 0, False
         self.out: dict[int, _Node] = {}  # attempts out
+        self.risked: set[int] = set()  # attempts that were second copies or trials
         self.used: list[_Node] = []
         self.maybe_ran_since = inf  # send of the first attempt that may have run
 
@@ -68,11 +65,9 @@
         if cls.late_worth <= 0:  # worthless after its aim: ended there, which frees its servers
             self.end_at = min(self.end_at, self.aim_at)
         self.parts, self.held = list[_Part](), list[_Part]()  # held: not sent, spares of an any-m query
-        self.step, self.got, self.landed = 1, 0.0, 0
-
-
-def _quantile(values: list[float], sums: list[float], q: float) -> float:
-    return values[min(bisect_left(sums, q * sums[-1]), len(values) - 1)]
+        self.step, self.got, self.landed, self.look_at = 1, 0.0, 0, 0.0
+        self.deaths, self.clean = set[int](), False  # servers that died under it; a part was answered
+        self.wanted, self.scout = 0, False  # parts to send; scout: the first goes alone
 
 
 class Aggregator:
@@ -80,21 +75,22 @@
         self.set, self.rng = settings, random.Random(seed)
         self.now, self.began, self.acts = 0.0, -1.0, list[api.Action]()
         self.nodes, self.parts = dict[int, _Node](), dict[int, _Part]()
+        self.holders: dict[int, list[_Node]] = {}  # ready servers by shard, found when first asked for
+        self.sound = self.warm = 0  # servers in use, and those of them that are warm: counted once a period
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts: dict[tuple[int, int], tuple[_Node, float]] = {}  # node, when sent
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
-        self.late = self.cost = 0.0  # late mark (0: not known yet); usual cost hint
+        self.usual = self.late = self.cost = 0.0  # usual time of a part, late mark (0: not known); cost hint
         self.refreshed, self.chosen = -inf, dict[tuple[int, int], int]()
-        self.seen: dict[str, deque[float]] = {}  # times of queries, taken, sends, extra, answers, tenants
+        self.seen: dict[str, deque[float]] = {}  # times of queries, taken, sends, extra, tenants
+        self.credit, self.alarm_at, self.death_at = 1.0, -inf, -inf  # copies left; next look; last death
 
     def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
         self.now, self.acts = now_ms, []
         if self.began < 0:
             self.began = now_ms
-            self.acts.append(api.SetAlarm(TICK_MS, 0))
-            if self.set.list_by_asking:
-                self.acts.append(api.Follow(True))
+            self.acts.extend([api.Follow(True)] if self.set.list_by_asking else [])
         for e in events:
             match e:
                 case api.Completed():
@@ -107,10 +103,12 @@
                     self._view(e)
                 case api.Gone(rid) if rid in self.queries:
                     self._end(self.queries[rid], None)
-                case api.Probed(node, Outcome.OK) if node in self.nodes:
-                    self.nodes[node].proved = True  # a process runs there; only answers show that it works
-                case api.Alarm():
-                    self._tick()
+        if now_ms >= self.alarm_at:
+            self._look()
+        next_look = now_ms + (TICK_MS if self.queries else PERIOD_MS)
+        if not now_ms < self.alarm_at <= next_look:
+            self.alarm_at = next_look
+            self.acts.append(api.SetAlarm(next_look - now_ms, 0))
         return self.acts
 
     def _view(self, view: api.View) -> None:
@@ -122,34 +120,22 @@
         for line in view.lines:
             node = self.nodes.setdefault(line.node, _Node(line))
             if line.started_ms > node.started:
-                node.started, node.waiting_since = line.started_ms, inf
-                node.renew(self.now, line.started_ms or -inf)
+                node.started = line.started_ms
+                self._renew(node, line.started_ms or -inf)
             node.cell, node.ready = line.cell, line.state == api.NodeState.READY
+        self.holders = {}
+
+    def _renew(self, node: _Node, cold_since: float, died_at: float = inf) -> None:  # its past is void
+        node.died_at, node.cold_since = died_at, cold_since
+        node.tokens, node.tokens_at, node.time_at = 0.0, self.now, -inf
 
-    def _suspect(self, node: _Node, why: str, refused: bool = False) -> None:
-        """Ejects a server that refuses connections or is silent; `_heard` takes it back. A slow one keeps its
-        part: fewest-out gives it what it can do, and in a jam an ejection loses work that it still did.
-        Harm: a broker that is itself cut off suspects all; MOST_EJECTED bounds that."""
-        node.refused = node.refused or refused
-        if node.suspect_since == inf:
-            node.suspect_since, node.proved, node.blind_at = self.now, False, self.now + BLIND_MS
-            self.acts.append(api.Log(f"node {node.id} ejected: {why}"))
-
-    def _heard(self, node: _Node) -> None:
-        """An answer takes a suspect back, as cold if its silence may have been a restart."""
-        if node.suspect_since < inf:
-            restarted = node.refused or self.now - node.suspect_since > BLIND_MS
-            node.renew(self.now, max(node.cold_since, node.suspect_since) if restarted else node.cold_since)
-            self.acts.append(api.Log(f"node {node.id} back"))
-
-    def _distribution(self, window: float) -> tuple[list[float], list[float]]:
+    def _distribution(self) -> tuple[list[float], list[float]]:
         """Recent part latencies and their summed weights. Cancelled parts and those still out are censored:
         their weight goes to the longer samples (product-limit estimate), so the record does not skew fast."""
         while self.record and self.record[0][0] < self.now - WINDOW_MS:
             self.record.popleft()
-        rows = [(ms, censored) for at, ms, censored in self.record if at >= self.now - window]
-        out = [sent for n, sent in self.attempts.values() if n.suspect_since == inf]
-        rows = sorted(rows + [(self.now - sent, True) for sent in out])
+        rows = [(ms, censored) for _, ms, censored in self.record]
+        rows = sorted(rows + [(self.now - sent, True) for _, sent in self.attempts.values()])
         left, values, weights = 1.0, [], []
         for i, (ms, censored) in enumerate(rows):
             if not censored:
@@ -178,13 +164,14 @@
     # -- The mechanism. On call: how many parts of an any-m query are sent (Joshi et al., Definition 8).
     def _refresh(self) -> None:
         self.refreshed, self.chosen = self.now, {}
-        self.latencies, self.weights = self._distribution(WINDOW_MS)
+        self.latencies, self.weights = self._distribution()
         if len(self.latencies) >= FEW:
             # Lost parts weigh on the record's end, not on its middle: they must not put off their own rescue.
-            middle, late = (_quantile(self.latencies, self.weights, q) for q in (0.5, LATE_QUANTILE))
-            self.late = min(late, LATE_MIDDLES * middle)
-        suspects = [n for n in self.nodes.values() if n.ready and n.suspect_since < inf and not n.proved]
-        self.acts.extend(api.Probe(n.id) for n in suspects if self.set.probing)
+            self.usual = median([ms for _, ms, gone in self.record if not gone][-2 * FEW :])
+            late = self.latencies[bisect_left(self.weights, LATE_QUANTILE, hi=len(self.weights) - 1)]
+            self.late = min(late, LATE_MIDDLES * self.usual)
+        sound = [n for n in self.nodes.values() if n.ready and n.died_at == inf]
+        self.sound, self.warm = len(sound), sum(1 for n in sound if self._warmth(n) >= 1.0)
 
     def _redundancy(self, m: int, k: int) -> int:
         """The r in m..k with the least T(r) among those with C(r) <= C(k); k without samples. Exception: m
@@ -194,7 +181,7 @@
         if (m, k) not in self.chosen:
             draws = [self.rng.choices(self.latencies, cum_weights=self.weights, k=k) for _ in range(DRAWS)]
             # Our share of the servers: the other brokers are taken to send as much as we do.
-            rate, room = self._rate("queries"), len(self._sound()) * PARALLEL / self.set.brokers
+            rate, room = self._rate("queries"), self.sound * PARALLEL / self.set.brokers
             best, least, most = m, inf, 0.0
             for r in range(k, m - 1, -1):
                 xs = [sorted(d[:r])[m - 1] for d in draws]
@@ -207,50 +194,41 @@
         return self.chosen[m, k]
 
     # -- Replica choice. On call: fewest of our own parts out among the sound holders, ties at random.
-    def _sound(self) -> list[_Node]:
-        return [n for n in self.nodes.values() if n.ready and n.suspect_since == inf]
+    def _holders(self, shard: int) -> list[_Node]:
+        cells, reach = self.set.cells, self.set.reach
+        if shard % cells not in self.holders:
+            held = [n for n in self.nodes.values() if n.ready and (n.cell - shard) % cells < reach]
+            self.holders[shard % cells] = held
+        return self.holders[shard % cells]
 
     def _calls(self, node: _Node) -> int:
-        """Calls out to a server after one more part, which may ride on a call of this turn. Parts given up on
-        late count until answers make up for them: else a bad server looks idle and draws all to it."""
-        left = [sent for sent in node.left if sent > self.now - BLIND_MS]
-        calls = Counter([*node.out.values(), *left, self.now])
-        return sum(-(-n // self.set.parts_per_call) for n in calls.values())
+        """Calls out to a server after one more part, which may ride on a call of this turn. Exception: a
+        server that is slow by its last answers, or by their absence, counts as so many calls more as it is
+        slower than usual; else a bad server looks idle and draws all. Rounded: what is about alike ties."""
+        turns = Counter([*node.out.values(), self.now])
+        slow = self._time(node) / self.usual - 1.0 if self.usual else 0.0
+        return sum(-(-n // self.set.parts_per_call) for n in turns.values()) + round(min(slow, SLOW_CALLS))
 
     def _warmth(self, node: _Node) -> float:
-        if node.refused:  # it may be starting now, and the list not know yet
+        if node.died_at < inf:  # it may be starting now, and the list not know yet
             return self.set.cold_from
         share = max(self.now - node.cold_since, 0.0) / max(self.set.cold_ms, 1.0)
         return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * share)
 
     def _admits(self, node: _Node) -> bool:
-        """Slow start: a cold server gets tokens at our pace to a warm one, times the warmth it has
-        at least, times half the multiple that fells it; so all brokers together stay under that multiple.
-        Harm: the shards of a cold set wait while it warms."""
+        """Slow start: a cold server gets tokens at our own pace to a warm one, times its least warmth and
+        half the multiple that fells it: a bound for all brokers together. Harm: a cold set's shards wait."""
         warmth = self._warmth(node)
         if warmth >= 1.0:
             return True
-        warm = max(1, sum(1 for n in self._sound() if self._warmth(n) >= 1.0))
-        pace = self._rate("sends") / warm * self.set.overload_factor / 2
+        pace = self._rate("sends") / max(1, self.warm) * self.set.overload_factor / 2
         node.tokens = min(1.0, node.tokens + pace * warmth * (self.now - node.tokens_at))
         node.tokens_at = self.now
         return node.tokens >= 1.0
 
     def _pick(self, part: _Part) -> _Node | None:
-        cells, reach = self.set.cells, self.set.reach
-        pool = [n for n in self.nodes.values() if n.ready and (n.cell - part.shard) % cells < reach]
-        pool = [n for n in pool if n not in part.out.values() and self.now >= n.avoid_until]
-        pool = [n for n in pool if self._admits(n)]
+        pool = [n for n in self._holders(part.shard) if n not in part.out.values() and self._admits(n)]
         pool = [n for n in pool if n not in part.used] or pool
-        if part.query.aim_at - self.now > SILENT_LATES * self.late:  # time enough to mend a trial that fails
-            for n in pool:
-                if n.suspect_since < inf and not n.out and (n.proved or self.now >= n.blind_at):
-                    n.proved, n.blind_at = False, self.now + BLIND_MS
-                    return n
-        bad = [n.suspect_since < inf and not n.refused for n in self.nodes.values() if n.ready]
-        lenient = sum(bad) > MOST_EJECTED * len(bad)
-        # All that look bad are used before none at all; cold ones without tokens are not.
-        pool = [n for n in pool if n.suspect_since == inf or (lenient and not n.refused)] or pool
         calls = [self._calls(n) for n in pool]
         ties = [n for n, load in zip(pool, calls, strict=True) if load == min(calls)]
         riding = [n for n in ties if self.set.parts_per_call > 1 and self.now in n.out.values()]
@@ -263,36 +241,40 @@
         self._note("queries", "taken")
         self.queries[query.id] = self.by_number[query.number] = query
         self._take_parts(query, e.parts)
+        sums = accumulate(sorted(p.weight for p in query.parts))
+        m = min(1 + sum(1 for s in sums if cls.need >= 1 or s < cls.need - ROUNDING), len(query.parts))
         most = REFUSE_AT * cls.aim_ms
         if e.tenant < len(self.set.tenants):
             self._note(f"tenant {e.tenant}")
             quota = self.set.tenants[e.tenant].quota_per_s / self.set.brokers / 1000
             if self._rate(f"tenant {e.tenant}") > quota:
                 most = REFUSE_OVER_QUOTA_AT * cls.aim_ms
-        if not query.parts or self._foreseen(query) > most:
+        if not query.parts or self._foreseen(query, m) > most:
             self._end(query, self._give_up(query))
             return
-        sums = accumulate(sorted(p.weight for p in query.parts))
-        m = 1 + sum(1 for s in sums if cls.need >= 1 or s < cls.need - ROUNDING)
-        r = self._redundancy(m, len(query.parts))
+        query.wanted = self._redundancy(m, len(query.parts))
+        query.scout = e.is_retry or self.now - self.death_at < DEATHS_MS
         order = self.rng.sample(query.parts, len(query.parts))
-        query.held = order[r:]
-        for part in order[:r]:
+        sent = 1 if query.scout else query.wanted
+        query.held = order[sent:]
+        for part in order[:sent]:
             self._try(part)
 
-    def _foreseen(self, query: _Query) -> float:
-        """How long a query taken now would take: parts out over the rate at which they are answered (Little's
-        law), lost ones left out. Guards against jams of any cause. Harm: none while few parts are out."""
-        sound, gone = self._sound(), self.now - SILENT_LATES * self.late
-        out = sum(1 for n in sound for sent in n.out.values() if sent > gone) + len(query.parts)
-        if not self.late or out <= 2 * PARALLEL * len(sound) / self.set.brokers:
+    def _foreseen(self, query: _Query, m: int) -> float:
+        """How long a query taken now would take, from what its own shards' servers took lately: the m-th
+        order statistic of exponential times of that mean (the paper's case), and no less than its slowest."""
+        if not self.late or not self.attempts:
             return 0.0
-        wait = out * JAM_MS / max(1, self._count("answers", JAM_MS))
-        values, weights = self._distribution(JAM_MS)
-        if values:  # many queries at once are no jam while the answers are quick
-            k = len(query.parts)  # by the order statistic of its parts
-            wait = min(SPREAD * wait, _quantile(values, weights, query.cls.need * k / (k + 1)))
-        return wait * (1.5 if query.cls.second_step else 1.0)
+        k, holders = len(query.parts), [self._holders(p.shard) for p in query.parts]
+        times = sorted(min((self._time(n, FADE_MS / 2) for n in held), default=0.0) for held in holders)[:m]
+        wait = max(times[-1], sum(times) / m * sum(1 / i for i in range(k - m + 1, k + 1)))
+        return wait * (SECOND_STEP if query.cls.second_step else 1.0)
+
+    def _time(self, node: _Node, fade_ms: float = FADE_MS) -> float:
+        """What a usual part takes at a server: its last answers, older ones fading to what all take, or the
+        time that we wait for a word from it already."""
+        lately = (node.time - self.usual) * 2 ** -((self.now - node.time_at) / fade_ms)
+        return max(self.usual + lately, self.now - min(node.out.values(), default=self.now))
 
     def _second_step(self, e: api.MoreParts) -> None:
         query = self.by_number.get(e.number)
@@ -308,15 +290,18 @@
             self.parts[p.id] = part = _Part(p, query)
             query.parts.append(part)
             self._note("taken")
+            self.credit = min(self.credit + RISK_SHARE, RISK_MOST)
             if p.cost_ms is not None and isfinite(p.cost_ms) and p.cost_ms > 0:
-                self.cost += (p.cost_ms - self.cost) * (0.05 if self.cost else 1.0)
+                self.cost += (p.cost_ms - self.cost) * (COST_WEIGHT if self.cost else 1.0)
 
     # -- Sending and further attempts. On call: who gets a second try, and what it may cost.
-    def _scale(self, cost: float | None) -> float:
-        """How costly a part says it is, over the usual: a costly part is late only so much later."""
-        return max(1.0, cost / self.cost) if cost is not None and self.cost > 0 and isfinite(cost) else 1.0
+    def _late_after(self, part: _Part) -> float:
+        """The age at which an attempt is late; a part with a costly hint, so much later."""
+        if part.cost is None or not isfinite(part.cost) or self.cost <= 0:
+            return self.late or inf
+        return (self.late or inf) * max(1.0, part.cost / self.cost)
 
-    def _may_retry(self, part: _Part, share: float) -> bool:
+    def _may_retry(self, part: _Part) -> bool:
         """What the class and the attempt budget allow; the budget is counted a tick to the safe side."""
         s, cls = self.set, part.query.cls
         if part.tries >= s.max_attempts or (part.out and not s.second_copies):
@@ -326,29 +311,43 @@
             return False
         window, free, each = s.extra_window_ms, s.extra_free or 0.0, s.extra_share or 0.0
         if window is None:
-            window, free, each = OWN_WINDOW_MS, OWN_FREE, OWN_SHARE
+            return True
         made, taken = self._count("extra", window + TICK_MS), self._count("taken", window - TICK_MS)
-        return made + 1 <= share * (free + each * taken)
-
-    def _try(self, part: _Part, share: float = 1.0) -> bool:
+        return made + 1 <= free + each * taken
+
+    def _kills(self, query: _Query) -> bool:
+        """What began it died: a query may kill its servers. Until a part of it is answered it is not sent on
+        while its other parts may tell, and no more after two servers, or one that its scout went to."""
+        waiting = any(p.out for p in query.parts)
+        return not query.clean and len(query.deaths) >= (1 if query.scout or waiting else 2)
+
+    def _try(self, part: _Part) -> bool:
+        """Sends a part, once more if need be. A second copy costs `credit`, paid back if it is first to
+        answer: many where servers lose parts, few where all are slow from load, which copies only add to."""
+        if self._kills(part.query):
+            return False
         if part.tries and part.query.held and self._try(part.query.held.pop()):
             return True  # a held part makes good the failed or late one: a first attempt, outside the budget
-        node = self._pick(part) if not part.tries or self._may_retry(part, share) else None
+        if part.tries and ((part.out and self.credit < 1) or not self._may_retry(part)):
+            return False
+        node = self._pick(part)
         if node is None:
             return False
+        if part.out:
+            self.credit -= 1
+            part.risked.add(part.tries)
         self._note("sends", *(["extra"] if part.tries else []))
         node.tokens -= self._warmth(node) < 1.0
         key = (part.id, part.tries)
         self.attempts[key] = (node, self.now)
         node.out[key] = self.now
-        node.waiting_since = min(node.waiting_since, self.now)
         part.out[part.tries] = node
         part.maybe_ran_since = min(part.maybe_ran_since, self.now)
         part.used.append(node)
         part.tries += 1
         cap = part.query.end_at - self.now
         if not self.set.second_copies and self.late:  # a late attempt must end before another may follow
-            cap = min(cap, SILENT_LATES * self.late * self._scale(part.cost))
+            cap = min(cap, CUT_LATES * self._late_after(part))
         self.acts.append(api.Send(part.id, node.id, max(cap, 1.0)))
         return True
 
@@ -359,55 +358,54 @@
         node, sent = attempt
         node.out.pop((e.part, e.attempt))
         took, ok = self.now - sent, e.outcome == Outcome.OK
-        if ok or node.suspect_since == inf:  # a suspect's silence says nothing of the servers in use
-            self.record.append((self.now, took, not ok))
-        word = e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL)
-        if word or (not node.out and self.now - node.waiting_since < self.late):
-            node.waiting_since = self.now if node.out else inf
-        # A server that turns parts away at once has none out and would draw all to it: it is let be for a
-        # while, longer each time. Harm: where all holders are full a part waits for the first to be due.
-        quick = (Outcome.FULL, Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET)
-        node.turned_away = 0 if ok else node.turned_away + (e.outcome in quick)
-        node.avoid_until = self.now + self.late * min(node.turned_away, AVOID_LATES)
+        self.record.append((self.now, took, not ok))
         if ok:
-            self._note("answers")
-            del node.left[:1]
-            self._heard(node)
+            if node.died_at < inf:  # it is back before the list says so, and cold
+                self._renew(node, node.died_at)
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
-            self._suspect(node, e.outcome.name.lower(), refused=True)
-        elif not e.outcome.never_ran and took > self.late > 0:
-            node.left.append(sent)
+            self._renew(node, node.cold_since, min(node.died_at, self.now))
         part = self.parts.get(e.part)
+        usual = took / (self._late_after(part) / self.late if part and self.late else 1.0)
+        if e.outcome in (Outcome.FULL, Outcome.ERROR):  # quick to turn parts away: it must not look idle
+            usual = max(self._time(node) + self.usual, self.late)
+        if ok or (self.late and usual > self._time(node)):
+            old = self._time(node) if self.usual else usual
+            node.time, node.time_at = old + (usual - old) * (LAST_WEIGHT if ok else 1.0), self.now
         if part is None or part.out.pop(e.attempt, None) is None or part.done:
             return
         if e.outcome.never_ran and part.tries == 1:
             part.maybe_ran_since = inf
+        query = part.query
         if ok:
-            part.done = True
-            part.query.got, part.query.landed = part.query.got + part.weight, part.query.landed + 1
-            self._settle(part.query)
+            part.done = query.clean = True
+            query.got, query.landed = query.got + part.weight, query.landed + 1
+            self.credit += e.attempt in part.risked
+            while query.scout and query.held and query.wanted > len(query.parts) - len(query.held):
+                self._try(query.held.pop())
+            self._settle(query)
+            return
+        if e.outcome == Outcome.RESET:
+            self.death_at = self.now
+            query.deaths.add(node.id)
+        if self._kills(query) and not any(p.out for p in query.parts):
+            self._end(query, self._give_up(query))
         elif not part.out:
             self._try(part)
 
-    def _tick(self) -> None:
-        self.acts.append(api.SetAlarm(TICK_MS, 0))
+    def _look(self) -> None:
         if self.now - self.refreshed >= PERIOD_MS:
             self._refresh()
-        for node in self.nodes.values():
-            if node.ready and self.late and self.now - node.waiting_since > SILENT_LATES * self.late:
-                self._suspect(node, "silent")
         for query in list(self.queries.values()):
             if self.now >= query.end_at:
                 self._end(query, self._give_up(query))
-                continue
-            for part in [p for p in query.parts if not p.done and p not in query.held]:
-                if not part.out:
-                    self._try(part)
-                    continue
-                last, node = list(part.out.items())[-1]
-                lost = node.suspect_since < inf
-                if lost or 0 < self.late * self._scale(part.cost) < self.now - node.out[part.id, last]:
-                    self._try(part, 1.0 if lost else HEDGE_SHARE)
+            elif self.now >= query.look_at:
+                query.look_at = self.now + AGAIN_MS
+                for part in [p for p in query.parts if not p.done and p not in query.held]:
+                    since = max((node.out[part.id, n] for n, node in part.out.items()), default=-inf)
+                    if self.now < since + self._late_after(part):
+                        query.look_at = min(query.look_at, since + self._late_after(part))
+                    else:
+                        self._try(part)
 
     # -- Ending queries. On call: one final answer each, in time, and honest.
     def _settle(self, query: _Query) -> None:
