No send for a query whose time is up, none begun that cannot be answered in the time left

A try is now refused when its time left is under what is foreseen, and at once when there is none. Cause: an attempt cut at its query's end was sent again to the next holder for one millisecond, and again.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -249,7 +249,7 @@
             quota = self.set.tenants[e.tenant].quota_per_s / self.set.brokers / 1000
             if self._rate(f"tenant {e.tenant}") > quota:
                 most = REFUSE_OVER_QUOTA_AT * cls.aim_ms
-        if not query.parts or self._foreseen(query, m) > most:
+        if not query.parts or self._foreseen(query, m) >= min(most, query.end_at - self.now):
             self._end(query, self._give_up(query))
             return
         query.wanted = self._redundancy(m, len(query.parts))
@@ -324,7 +324,7 @@
     def _try(self, part: _Part) -> bool:
         """Sends a part, once more if need be. A second copy costs `credit`, paid back if it is first to
         answer: many where servers lose parts, few where all are slow from load, which copies only add to."""
-        if self._kills(part.query):
+        if self._kills(part.query) or self.now >= part.query.end_at:
             return False
         if part.tries and part.query.held and self._try(part.query.held.pop()):
             return True  # a held part makes good the failed or late one: a first attempt, outside the budget
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -248,6 +248,33 @@
     assert walks(200) == walks(8) == 0
 
 
+def test_a_try_with_hardly_any_time_left_is_ended_at_once():
+    # Impatient clients come with milliseconds left: the next look was too late for their final answer.
+    b = Bench()
+    q, acts = b.query(ALL, left=20.0)
+    assert of(api.Refuse, acts) == [api.Refuse(q, 0.0)] and not of(api.Send, acts)
+
+
+def test_a_try_that_leaves_before_its_answer_can_come_is_refused():
+    # Clients that give up early and repeat at once: what cannot be answered in their time is not begun.
+    b = Bench()
+    b.learn(ms=60.0, queries=30)
+    b.query(ALL)
+    q, acts = b.query(ALL, left=100.0)
+    assert of(api.Refuse, acts) == [api.Refuse(q, 0.0)]
+    _, acts = b.query(ALL, left=800.0)
+    assert len(of(api.Send, acts)) == 4
+
+
+def test_an_attempt_that_times_out_with_its_query_is_not_sent_again():
+    # It was sent to every other holder for one millisecond each, work that no one could use.
+    b = Bench()
+    q, sends = b.query(ALL, left=500.0)
+    b.now += 475.0
+    for a in of(api.Send, sends):
+        assert not of(api.Send, b.finish(a.part, Outcome.TIMEOUT))
+
+
 def test_retry_after_goes_with_a_refusal_where_clients_get_it():
     b = Bench(retry_after=True)
     q, acts = b.query(ALL, parts=0)
@@ -278,7 +305,7 @@
     q2, acts = b.query(ALL, parts=0)
     assert of(api.Refuse, acts) == [api.Refuse(q2, 0.0)]
     q3, acts = b.query(ALL, left=nan)
-    assert of(api.Refuse, b.wait(100.0)) == [api.Refuse(q3, 0.0)]
+    assert of(api.Refuse, acts) == [api.Refuse(q3, 0.0)]
     b.query(ALL, shard=10_000)
     for _ in range(5):
         b.do(api.Alarm(77))  # the clock stands still
