A connection broken within a round trip is a refusal, not a death

Cause: servers that break a quarter or more of their connections within 0 to 5 ms and serve the rest were taken for dead (avoided, then fed as cold), their queries for killers, and for 20 s all queries sent scouts.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -27,6 +27,7 @@
 LATE_MIDDLES = 3.0  # so many times the middle answer is late whatever the record's end says
 FADE_MS = 10_000.0  # what a server's answers took counts half after this
 LAST_WEIGHT = 0.4  # and the last of them so much: three tell a slow server from a slow part
+BEGUN_MS = 5.0  # a connection that breaks sooner, a round trip, did so before the part can have begun
 SLOW_CALLS = 4.0  # a slow server counts as so many more calls out at most
 DEATHS_MS = 20_000.0  # so long after a server died under a query new ones send a scout
 RISK_SHARE = 0.05  # second copies as a share of the parts taken, where none is first to answer
@@ -254,11 +255,9 @@
             return
         query.wanted = self._redundancy(m, len(query.parts))
         query.scout = e.is_retry or self.now - self.death_at < DEATHS_MS
-        order = self.rng.sample(query.parts, len(query.parts))
-        sent = 1 if query.scout else query.wanted
-        query.held = order[sent:]
-        for part in order[:sent]:
-            self._try(part)
+        query.held = self.rng.sample(query.parts, len(query.parts))
+        for _ in range(1 if query.scout else query.wanted):
+            self._try(query.held.pop())
 
     def _foreseen(self, query: _Query, m: int) -> float:
         """How long a query taken now would take, from what its own shards' servers took lately: the m-th
@@ -338,9 +337,8 @@
             part.risked.add(part.tries)
         self._note("sends", *(["extra"] if part.tries else []))
         node.tokens -= self._warmth(node) < 1.0
-        key = (part.id, part.tries)
-        self.attempts[key] = (node, self.now)
-        node.out[key] = self.now
+        self.attempts[part.id, part.tries] = (node, self.now)
+        node.out[part.id, part.tries] = self.now
         part.out[part.tries] = node
         part.maybe_ran_since = min(part.maybe_ran_since, self.now)
         part.used.append(node)
@@ -359,14 +357,16 @@
         node.out.pop((e.part, e.attempt))
         took, ok = self.now - sent, e.outcome == Outcome.OK
         self.record.append((self.now, took, not ok))
+        # A connection that broke before a part can have begun is as good as a refusal; later, it may be a death.
+        died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS
         if ok:
             if node.died_at < inf:  # it is back before the list says so, and cold
                 self._renew(node, node.died_at)
-        elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+        elif e.outcome == Outcome.CONNECT_FAILED or died:
             self._renew(node, node.cold_since, min(node.died_at, self.now))
         part = self.parts.get(e.part)
         usual = took / (self._late_after(part) / self.late if part and self.late else 1.0)
-        if e.outcome in (Outcome.FULL, Outcome.ERROR):  # quick to turn parts away: it must not look idle
+        if e.outcome in (Outcome.FULL, Outcome.ERROR, Outcome.RESET):  # quick to turn parts away: it must not look idle
             usual = max(self._time(node) + self.usual, self.late)
         if ok or (self.late and usual > self._time(node)):
             old = self._time(node) if self.usual else usual
@@ -384,7 +384,7 @@
                 self._try(query.held.pop())
             self._settle(query)
             return
-        if e.outcome == Outcome.RESET:
+        if died:
             self.death_at = self.now
             query.deaths.add(node.id)
         if self._kills(query) and not any(p.out for p in query.parts):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -189,6 +189,20 @@
     assert of(api.Refuse, b.log) == [api.Refuse(q, 0.0)]
 
 
+def test_a_connection_that_breaks_at_once_is_a_refusal_and_no_death():
+    # Servers broke a third of all connections within a round trip and served the rest: nothing can have been
+    # begun by then, so neither the query nor the process is to blame, and no scout need go ahead.
+    b = Bench(extra_free=1000.0)
+    b.learn()
+    _, sends = b.query(ALL)
+    for a in of(api.Send, sends):
+        assert of(api.Send, b.finish(a.part, Outcome.RESET))
+    answer_all(b)
+    _, sends = b.query(ALL)
+    assert len(of(api.Send, sends)) == 4
+    assert all(n.died_at == math.inf for n in b.agg.nodes.values())
+
+
 def test_a_repeat_sends_a_scout_and_the_rest_when_it_is_answered():
     b = Bench()
     b.learn()
