--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -357,7 +357,7 @@
         node.out.pop((e.part, e.attempt))
         took, ok = self.now - sent, e.outcome == Outcome.OK
         self.record.append((self.now, took, not ok))
-        # A connection that broke before a part can have begun is as good as a refusal; later, it may be a death.
+        # Broken before a part can have begun, a connection is as good as refused; later it may be a death.
         died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS
         if ok:
             if node.died_at < inf:  # it is back before the list says so, and cold
@@ -366,7 +366,7 @@
             self._renew(node, node.cold_since, min(node.died_at, self.now))
         part = self.parts.get(e.part)
         usual = took / (self._late_after(part) / self.late if part and self.late else 1.0)
-        if e.outcome in (Outcome.FULL, Outcome.ERROR, Outcome.RESET):  # quick to turn parts away: it must not look idle
+        if e.outcome in (Outcome.FULL, Outcome.ERROR, Outcome.RESET):  # quick, but not idle
             usual = max(self._time(node) + self.usual, self.late)
         if ok or (self.late and usual > self._time(node)):
             old = self._time(node) if self.usual else usual
