--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -219,6 +219,7 @@
     b.learn()
     _, sends = b.query(ALL)
     parts = [a.part for a in of(api.Send, sends)]
+    b.wait(20.0)
     assert not of(api.Send, b.finish(parts[0], Outcome.RESET))
     assert not of(api.Send, b.finish(parts[1], Outcome.RESET))
     b.finish(parts[2])
