--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -27,9 +27,10 @@
 LATE_MIDDLES = 3.0  # so many times the middle answer is late whatever the record's end says
 FADE_MS = 10_000.0  # what a server's answers took counts half after this
 LAST_WEIGHT = 0.4  # and the last of them so much: three tell a slow server from a slow part
+COLD_PACE = 0.75  # of the multiple that fells a cold server: the rest is for chance and for others' guesses
 BEGUN_MS = 5.0  # a connection that breaks sooner, a round trip, did so before the part can have begun
 SLOW_CALLS = 4.0  # a slow server counts as so many more calls out at most
-DEATHS_MS = 20_000.0  # so long after a server died under a query new ones send a scout
+DEATHS_MS = 30_000.0  # so long after a server died under a query new ones send a scout
 RISK_SHARE = 0.05  # second copies as a share of the parts taken, where none is first to answer
 RISK_MOST = 5.0  # what can be saved up of it
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
@@ -54,7 +55,6 @@
         self.id, self.shard, self.weight, self.cost = part.id, part.shard, part.weight, part.cost_ms
         self.query, self.tries, self.done = query, 0, False
         self.out: dict[int, _Node] = {}  # attempts out
-        self.risked: set[int] = set()  # attempts that were second copies or trials
         self.used: list[_Node] = []
         self.maybe_ran_since = inf  # send of the first attempt that may have run
 
@@ -121,6 +121,7 @@
         for line in view.lines:
             node = self.nodes.setdefault(line.node, _Node(line))
             if line.started_ms > node.started:
+                self.death_at = self.now if node.ready else self.death_at  # restarted without a drain
                 node.started = line.started_ms
                 self._renew(node, line.started_ms or -inf)
             node.cell, node.ready = line.cell, line.state == api.NodeState.READY
@@ -128,7 +129,7 @@
 
     def _renew(self, node: _Node, cold_since: float, died_at: float = inf) -> None:  # its past is void
         node.died_at, node.cold_since = died_at, cold_since
-        node.tokens, node.tokens_at, node.time_at = 0.0, self.now, -inf
+        node.tokens, node.tokens_at, node.time_at = self.rng.random(), self.now, -inf  # not due all at once
 
     def _distribution(self) -> tuple[list[float], list[float]]:
         """Recent part latencies and their summed weights. Cancelled parts and those still out are censored:
@@ -218,11 +219,11 @@
 
     def _admits(self, node: _Node) -> bool:
         """Slow start: a cold server gets tokens at our own pace to a warm one, times its least warmth and
-        half the multiple that fells it: a bound for all brokers together. Harm: a cold set's shards wait."""
+        most of the multiple that fells it: all brokers' sum is bound. Harm: a cold set's shards wait."""
         warmth = self._warmth(node)
         if warmth >= 1.0:
             return True
-        pace = self._rate("sends") / max(1, self.warm) * self.set.overload_factor / 2
+        pace = self._rate("sends") / max(1, self.warm) * self.set.overload_factor * COLD_PACE
         node.tokens = min(1.0, node.tokens + pace * warmth * (self.now - node.tokens_at))
         node.tokens_at = self.now
         return node.tokens >= 1.0
@@ -332,9 +333,7 @@
         node = self._pick(part)
         if node is None:
             return False
-        if part.out:
-            self.credit -= 1
-            part.risked.add(part.tries)
+        self.credit -= bool(part.out)
         self._note("sends", *(["extra"] if part.tries else []))
         node.tokens -= self._warmth(node) < 1.0
         self.attempts[part.id, part.tries] = (node, self.now)
@@ -363,6 +362,7 @@
             if node.died_at < inf:  # it is back before the list says so, and cold
                 self._renew(node, node.died_at)
         elif e.outcome == Outcome.CONNECT_FAILED or died:
+            self.death_at = self.now
             self._renew(node, node.cold_since, min(node.died_at, self.now))
         part = self.parts.get(e.part)
         usual = took / (self._late_after(part) / self.late if part and self.late else 1.0)
@@ -379,13 +379,12 @@
         if ok:
             part.done = query.clean = True
             query.got, query.landed = query.got + part.weight, query.landed + 1
-            self.credit += e.attempt in part.risked
+            self.credit += any(n < e.attempt for n in part.out)  # a copy that was first to answer
             while query.scout and query.held and query.wanted > len(query.parts) - len(query.held):
                 self._try(query.held.pop())
             self._settle(query)
             return
         if died:
-            self.death_at = self.now
             query.deaths.add(node.id)
         if self._kills(query) and not any(p.out for p in query.parts):
             self._end(query, self._give_up(query))
