A copy that is first to answer pays for one and a half

Symptom: from 0:20 a third to a half of all parts is never answered, by any server, while the rest is answered as quickly as before; half of the queries refused. Told from a jam by the answers' times (100 ms), from a server's fault by all servers and brokers being struck alike, from killers by no broken connection. Before that (0:15) two holders of four answer errors at once. Copies ran out of credit: each that wins paid for one, a third of them is lost too. Open: lost parts still count as the server's time in what is foreseen.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -33,6 +33,7 @@
 DEATHS_MS = 30_000.0  # so long after a server died under a query new ones send a scout
 RISK_SHARE = 0.05  # second copies as a share of the parts taken, where none is first to answer
 RISK_MOST = 5.0  # what can be saved up of it
+COPY_PAYS = 1.5  # a copy first to answer pays for more than itself: two of three must win to go on
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
 REFUSE_OVER_QUOTA_AT = 0.5  # sooner for a tenant beyond its quota: what it adds is worth little
 SECOND_STEP = 1.5  # a second step has fewer and lighter parts than the first
@@ -379,7 +380,7 @@
         if ok:
             part.done = query.clean = True
             query.got, query.landed = query.got + part.weight, query.landed + 1
-            self.credit += any(n < e.attempt for n in part.out)  # a copy that was first to answer
+            self.credit += COPY_PAYS * any(n < e.attempt for n in part.out)  # a copy that was first to answer
             while query.scout and query.held and query.wanted > len(query.parts) - len(query.held):
                 self._try(query.held.pop())
             self._settle(query)
