--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -267,13 +267,13 @@
         if not self.late or not self.attempts:
             return 0.0
         k, holders = len(query.parts), [self._holders(p.shard) for p in query.parts]
-        times = sorted(min((self._time(n, FADE_MS / 2) for n in held), default=0.0) for held in holders)[:m]
+        known = [[n for n in held if n.time_at > self.now - FADE_MS / 2] or held for held in holders]
+        times = sorted(min((self._time(n, FADE_MS / 2) for n in held), default=0.0) for held in known)[:m]
         wait = max(times[-1], sum(times) / m * sum(1 / i for i in range(k - m + 1, k + 1)))
         return wait * (SECOND_STEP if query.cls.second_step else 1.0)
 
     def _time(self, node: _Node, fade_ms: float = FADE_MS) -> float:
-        """What a usual part takes at a server: its last answers, older ones fading to what all take, or the
-        time that we wait for a word from it already."""
+        """What a usual part takes there: the last answers, fading to what all take, or its oldest one's age."""
         lately = (node.time - self.usual) * 2 ** -((self.now - node.time_at) / fade_ms)
         return max(self.usual + lately, self.now - min(node.out.values(), default=self.now))
 
