--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -273,7 +273,7 @@
         return wait * (SECOND_STEP if query.cls.second_step else 1.0)
 
     def _time(self, node: _Node, fade_ms: float = FADE_MS) -> float:
-        """What a usual part takes there: the last answers, fading to what all take, or its oldest one's age."""
+        """What a usual part takes there: its last answers, fading to what all take, or its oldest age."""
         lately = (node.time - self.usual) * 2 ** -((self.now - node.time_at) / fade_ms)
         return max(self.usual + lately, self.now - min(node.out.values(), default=self.now))
 
