--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -37,6 +37,8 @@
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
 REFUSE_OVER_QUOTA_AT = 0.5  # sooner for a tenant beyond its quota: what it adds is worth little
 ASK_FIRST = 16.0  # a failed call to the list is repeated in an eighth of the time for asking, then twice that
+LOST_SHARE = 0.2  # of parts sent on idle connections: more lost than this is no chance nor a few deaths
+LOST_FEW = 2.0  # and so many beyond it: three in a row
 SECOND_STEP = 1.5  # a second step has fewer and lighter parts than the first
 COST_WEIGHT = 0.05  # of a new cost hint in the usual one: the last twenty parts count
 ROUNDING = 5e-5  # sums of weights may come up short by this
@@ -50,6 +52,7 @@
         self.out: dict[tuple[int, int], float] = {}  # our attempts out: when sent
         self.died_at = inf  # when it first refused or broke connections since it was heard
         self.time, self.time_at = 0.0, -inf  # what a usual part took there lately, and when that was seen
+        self.link_at = -inf  # last use of our connection; -inf: none, or none to be trusted
 
 
 class _Part:
@@ -81,7 +84,9 @@
         self.holders: dict[int, list[_Node]] = {}  # ready servers by shard, found when first asked for
         self.sound = self.warm = 0  # servers in use, and those of them that are warm: counted once a period
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
-        self.attempts: dict[tuple[int, int], tuple[_Node, float]] = {}  # node, when sent
+        self.attempts: dict[tuple[int, int], tuple[_Node, float, float]] = {}  # node, when, idle before
+        self.idled: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # idle, when, lost
+        self.idle_most, self.idle_until = inf, -inf  # longest idle time trusted, and until when that holds
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
         self.usual = self.late = self.cost = 0.0  # usual time of a part, late mark (0: not known); cost hint
@@ -150,7 +155,7 @@
         while self.record and self.record[0][0] < self.now - WINDOW_MS:
             self.record.popleft()
         rows = [(ms, censored) for _, ms, censored in self.record]
-        rows = sorted(rows + [(self.now - sent, True) for _, sent in self.attempts.values()])
+        rows = sorted(rows + [(self.now - sent, True) for _, sent, _ in self.attempts.values()])
         left, values, weights = 1.0, [], []
         for i, (ms, censored) in enumerate(rows):
             if not censored:
@@ -349,7 +354,12 @@
         self.credit -= bool(part.out)
         self._note("sends", *(["extra"] if part.tries else []))
         node.tokens -= self._warmth(node) < 1.0
-        self.attempts[part.id, part.tries] = (node, self.now)
+        idle = 0.0 if node.out or node.link_at == -inf else self.now - node.link_at
+        if idle > (self.idle_most if self.now < self.idle_until else inf):
+            self.acts.append(api.CloseIdle(node.id))
+            idle = 0.0
+        self.attempts[part.id, part.tries] = (node, self.now, idle)
+        node.link_at = self.now
         node.out[part.id, part.tries] = self.now
         part.out[part.tries] = node
         part.maybe_ran[part.tries] = self.now
@@ -365,9 +375,10 @@
         attempt = self.attempts.pop((e.part, e.attempt), None)
         if attempt is None:
             return
-        node, sent = attempt
+        node, sent, idle = attempt
         node.out.pop((e.part, e.attempt))
         took, ok = self.now - sent, e.outcome == Outcome.OK
+        self._link(node, idle, e.outcome, took)
         self.record.append((self.now, took, not ok))
         # Broken before a part can have begun, a connection is as good as refused; later it may be a death.
         died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS
@@ -404,6 +415,32 @@
         elif not part.out:
             self._try(part)
 
+    # -- Connections. On call: one idle for longer than lately was safe is shut; the part opens another.
+    def _link(self, node: _Node, idle: float, outcome: Outcome, took: float) -> None:
+        """Guards against connections that something between drops unseen while idle: a reset, or no answer.
+        Acts when parts sent after more than some idle time are lost far more often than others, for half a
+        minute. Harm: a new connection for each part, which is slow where handshakes are."""
+        silent = outcome in (Outcome.TIMEOUT, Outcome.CANCELLED)
+        lost = outcome == Outcome.RESET or (silent and took > (self.late or inf))
+        if lost:
+            node.link_at = -inf
+            if silent and not node.out:
+                self.acts.append(api.CloseIdle(node.id))
+        elif outcome in (Outcome.OK, Outcome.ERROR):
+            node.link_at = self.now
+        else:
+            return
+        self.idled.append((idle, self.now, lost))
+        if not lost or idle <= 0:
+            return
+        rows = sorted((r for r in self.idled if r[1] > self.now - WINDOW_MS), reverse=True)
+        excess = best = 0.0
+        for (gap, _, bad), (below, _, _) in zip(rows, rows[1:] + [(0.0, 0.0, False)], strict=True):
+            excess += bad - LOST_SHARE
+            if bad and gap > 0 and excess > max(best, LOST_FEW):
+                best, self.idle_until = excess, self.now + DEATHS_MS
+                self.idle_most = (gap + below) / 2
+
     def _look(self) -> None:
         if self.now - self.refreshed >= PERIOD_MS:
             self._refresh()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -372,3 +372,40 @@
     b = Bench(list_by_asking=True)
     b.wait(9000.0)
     assert len(of(api.Follow, b.log)) == 2
+
+
+def reaped(b, struck, outcome, idle=2000.0, rounds=12):
+    """Sends after idle times; these servers lose what comes on a connection that was not shut first."""
+    closed = lost = sent = 0
+    for _ in range(rounds):
+        b.wait(idle)
+        _, acts = b.query(ALL)
+        shut = {a.node for a in of(api.CloseIdle, acts)}
+        closed += len(shut)
+        b.wait(20.0)
+        for a in of(api.Send, acts):
+            sent += 1
+            if a.node in struck and a.node not in shut:
+                lost += 1
+                b.finish(a.part, outcome)
+            else:
+                b.finish(a.part)
+        b.wait(60.0)
+        answer_all(b)
+    return closed, lost, sent
+
+
+def test_connections_dropped_while_idle_are_shut_before_a_send():
+    # Three quarters of the connections were dropped after a second or two without use: 37% of attempts reset.
+    b = Bench(extra_free=1000.0)
+    b.learn()
+    closed, lost, sent = reaped(b, {10, 11, 12}, Outcome.RESET)
+    assert lost <= 6 and closed >= sent - 6
+    b.wait(60_000.0)
+    assert reaped(b, (), Outcome.RESET)[0] == 0  # forgotten, for a new connection has its price
+
+
+def test_a_dead_server_among_many_shuts_no_connections():
+    b = Bench(lines=[line(10 + i, i % 4) for i in range(16)], extra_free=1000.0)
+    b.learn()
+    assert reaped(b, {10, 20}, Outcome.RESET)[0] <= 3
