Scouts rest on evidence that queries kill: one server after another, a scout's own, or a restart nobody missed

Assumption of the earlier deployments: who sees a death sees a query that kills. A crash takes all at once; a query that kills does so where and when each part begins. Holds against reset connections and crashes. Harm: processes that flap fast are taken for killed.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -30,7 +30,7 @@
 COLD_PACE = 0.75  # of the multiple that fells a cold server: the rest is for chance and for others' guesses
 BEGUN_MS = 5.0  # a connection that breaks sooner, a round trip, did so before the part can have begun
 SLOW_CALLS = 4.0  # a slow server counts as so many more calls out at most
-DEATHS_MS = 30_000.0  # so long after a server died under a query new ones send a scout
+DEATHS_MS = 30_000.0  # so long after a query killed new ones send a scout; idle times are trusted less
 RISK_SHARE = 0.05  # second copies as a share of the parts taken, where none is first to answer
 RISK_MOST = 5.0  # what can be saved up of it
 COPY_PAYS = 1.5  # a copy first to answer pays for more than itself: two of three must win to go on
@@ -72,7 +72,7 @@
             self.end_at = min(self.end_at, self.aim_at)
         self.parts, self.held = list[_Part](), list[_Part]()  # held: not sent, spares of an any-m query
         self.step, self.got, self.landed, self.look_at = 1, 0.0, 0, 0.0
-        self.deaths, self.clean = set[int](), False  # servers that died under it; a part was answered
+        self.deaths, self.clean = dict[int, float](), False  # servers that died under it; a part was answered
         self.wanted, self.scout = 0, False  # parts to send; scout: the first goes alone
 
 
@@ -92,7 +92,7 @@
         self.usual = self.late = self.cost = 0.0  # usual time of a part, late mark (0: not known); cost hint
         self.refreshed, self.chosen = -inf, dict[tuple[int, int], int]()
         self.seen: dict[str, deque[float]] = {}  # times of queries, taken, sends, extra, tenants
-        self.credit, self.alarm_at, self.death_at = 1.0, -inf, -inf  # copies left; next look; last death
+        self.credit, self.alarm_at, self.killing_at = 1.0, -inf, -inf  # copies left; next look; last killing
         self.ask_at, self.unheard = -inf, 0  # next call to the list (inf: subscribed); calls failed in a row
 
     def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
@@ -139,7 +139,7 @@
         for line in view.lines:
             node = self.nodes.setdefault(line.node, _Node(line))
             if line.started_ms > node.started:
-                self.death_at = self.now if node.ready else self.death_at  # restarted without a drain
+                self.killing_at = self.now if node.ready else self.killing_at  # restarted before it was missed
                 node.started = line.started_ms
                 self._renew(node, line.started_ms or -inf)
             node.cell, node.ready = line.cell, line.state == api.NodeState.READY
@@ -273,7 +273,7 @@
             self._end(query, self._give_up(query))
             return
         query.wanted = self._redundancy(m, len(query.parts))
-        query.scout = e.is_retry or self.now - self.death_at < DEATHS_MS
+        query.scout = e.is_retry or self.now - self.killing_at < DEATHS_MS
         query.held = self.rng.sample(query.parts, len(query.parts))
         for _ in range(1 if query.scout else query.wanted):
             self._try(query.held.pop())
@@ -386,7 +386,6 @@
             if node.died_at < inf:  # it is back before the list says so, and cold
                 self._renew(node, node.died_at)
         elif e.outcome == Outcome.CONNECT_FAILED or died:
-            self.death_at = self.now
             self._renew(node, node.cold_since, min(node.died_at, self.now))
         part = self.parts.get(e.part)
         usual = took / (self._late_after(part) / self.late if part and self.late else 1.0)
@@ -408,8 +407,11 @@
                 self._try(query.held.pop())
             self._settle(query)
             return
-        if died:
-            query.deaths.add(node.id)
+        if died:  # a crash takes all at once, a query that kills does so where and when each part is begun
+            one_by_one = any(self.now - at > TICK_MS for n, at in query.deaths.items() if n != node.id)
+            if not query.clean and (query.scout or one_by_one):
+                self.killing_at = self.now
+            query.deaths[node.id] = self.now
         if self._kills(query) and not any(p.out for p in query.parts):
             self._end(query, self._give_up(query))
         elif not part.out:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -409,3 +409,27 @@
     b = Bench(lines=[line(10 + i, i % 4) for i in range(16)], extra_free=1000.0)
     b.learn()
     assert reaped(b, {10, 20}, Outcome.RESET)[0] <= 3
+
+
+def test_a_crash_of_several_servers_at_once_sends_no_scouts():
+    # Scouts went ahead of every query for half a minute after any death: a quarter of the queries came late.
+    b = Bench(lines=[line(10 + i, i % 4) for i in range(16)], extra_free=1000.0)
+    b.learn()
+    _, sends = b.query(ALL)
+    b.wait(30.0)
+    for a in of(api.Send, sends)[:3]:
+        b.finish(a.part, Outcome.RESET)
+    b.finish(of(api.Send, sends)[3].part)
+    b.wait(200.0)
+    answer_all(b)
+    _, sends = b.query(ALL)
+    assert len(of(api.Send, sends)) == 4
+
+
+def test_a_restart_that_was_not_missed_sends_scouts():
+    # Where queries kill, processes are back before the list misses them; a broker sees few deaths itself.
+    b = Bench()
+    b.learn()
+    b.do(api.View(api.ViewKind.DELTA, (line(10, 0, started=b.now - 500.0),)))
+    _, sends = b.query(ALL)
+    assert len(of(api.Send, sends)) == 1
