--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -139,7 +139,7 @@
         for line in view.lines:
             node = self.nodes.setdefault(line.node, _Node(line))
             if line.started_ms > node.started:
-                self.killing_at = self.now if node.ready else self.killing_at  # restarted before it was missed
+                self.killing_at = self.now if node.ready else self.killing_at  # nobody missed it
                 node.started = line.started_ms
                 self._renew(node, line.started_ms or -inf)
             node.cell, node.ready = line.cell, line.state == api.NodeState.READY
