--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -55,6 +55,12 @@
         self.link_at = -inf  # last use of our connection; -inf: none, or none to be trusted
 
 
+class _Attempt:
+    def __init__(self, node: _Node, sent: float, idle: float) -> None:
+        self.node, self.sent, self.idle = node, sent, idle  # idle: how long its connection had been so
+        self.lost: bool | None = None
+
+
 class _Part:
     def __init__(self, part: api.Part, query: _Query) -> None:
         self.id, self.shard, self.weight, self.cost = part.id, part.shard, part.weight, part.cost_ms
@@ -84,8 +90,8 @@
         self.holders: dict[int, list[_Node]] = {}  # ready servers by shard, found when first asked for
         self.sound = self.warm = 0  # servers in use, and those of them that are warm: counted once a period
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
-        self.attempts: dict[tuple[int, int], tuple[_Node, float, float]] = {}  # node, when, idle before
-        self.idled: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # idle, when, lost
+        self.attempts: dict[tuple[int, int], _Attempt] = {}  # all that are out, called off or not
+        self.judged: deque[_Attempt] = deque(maxlen=WINDOW_COUNT)  # those answered, lost or late
         self.idle_most, self.idle_until = inf, -inf  # longest idle time trusted, and until when that holds
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
@@ -155,7 +161,7 @@
         while self.record and self.record[0][0] < self.now - WINDOW_MS:
             self.record.popleft()
         rows = [(ms, censored) for _, ms, censored in self.record]
-        rows = sorted(rows + [(self.now - sent, True) for _, sent, _ in self.attempts.values()])
+        rows = sorted(rows + [(self.now - a.sent, True) for a in self.attempts.values()])
         left, values, weights = 1.0, [], []
         for i, (ms, censored) in enumerate(rows):
             if not censored:
@@ -358,7 +364,7 @@
         if idle > (self.idle_most if self.now < self.idle_until else inf):
             self.acts.append(api.CloseIdle(node.id))
             idle = 0.0
-        self.attempts[part.id, part.tries] = (node, self.now, idle)
+        self.attempts[part.id, part.tries] = _Attempt(node, self.now, idle)
         node.link_at = self.now
         node.out[part.id, part.tries] = self.now
         part.out[part.tries] = node
@@ -375,10 +381,16 @@
         attempt = self.attempts.pop((e.part, e.attempt), None)
         if attempt is None:
             return
-        node, sent, idle = attempt
+        node = attempt.node
         node.out.pop((e.part, e.attempt))
-        took, ok = self.now - sent, e.outcome == Outcome.OK
-        self._link(node, idle, e.outcome, took)
+        took, ok = self.now - attempt.sent, e.outcome == Outcome.OK
+        if ok or e.outcome == Outcome.ERROR:
+            node.link_at = self.now
+            self._judge(attempt, lost=False)
+        elif e.outcome == Outcome.RESET or took > (self.late or inf):
+            node.link_at = -inf
+            self.acts.extend([] if node.out else [api.CloseIdle(node.id)])
+            self._judge(attempt, lost=True)
         self.record.append((self.now, took, not ok))
         # Broken before a part can have begun, a connection is as good as refused; later it may be a death.
         died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS
@@ -418,30 +430,20 @@
             self._try(part)
 
     # -- Connections. On call: one idle for longer than lately was safe is shut; the part opens another.
-    def _link(self, node: _Node, idle: float, outcome: Outcome, took: float) -> None:
+    def _judge(self, attempt: _Attempt, lost: bool) -> None:
         """Guards against connections that something between drops unseen while idle: a reset, or no answer.
         Acts when parts sent after more than some idle time are lost far more often than others, for half a
         minute. Harm: a new connection for each part, which is slow where handshakes are."""
-        silent = outcome in (Outcome.TIMEOUT, Outcome.CANCELLED)
-        lost = outcome == Outcome.RESET or (silent and took > (self.late or inf))
-        if lost:
-            node.link_at = -inf
-            if silent and not node.out:
-                self.acts.append(api.CloseIdle(node.id))
-        elif outcome in (Outcome.OK, Outcome.ERROR):
-            node.link_at = self.now
-        else:
-            return
-        self.idled.append((idle, self.now, lost))
-        if not lost or idle <= 0:
+        self.judged.extend([attempt] if attempt.lost is None else [])
+        attempt.lost = lost
+        if not lost or attempt.idle <= 0:
             return
-        rows = sorted((r for r in self.idled if r[1] > self.now - WINDOW_MS), reverse=True)
+        rows = sorted(((a.idle, a.lost) for a in self.judged if a.sent > self.now - WINDOW_MS), reverse=True)
         excess = best = 0.0
-        for (gap, _, bad), (below, _, _) in zip(rows, rows[1:] + [(0.0, 0.0, False)], strict=True):
-            excess += bad - LOST_SHARE
-            if bad and gap > 0 and excess > max(best, LOST_FEW):
-                best, self.idle_until = excess, self.now + DEATHS_MS
-                self.idle_most = (gap + below) / 2
+        for (idle, bad), (below, _) in zip(rows, rows[1:] + [(0.0, False)], strict=True):
+            excess += bool(bad) - LOST_SHARE
+            if bad and idle > 0 and excess > max(best, LOST_FEW):
+                best, self.idle_most, self.idle_until = excess, (idle + below) / 2, self.now + DEATHS_MS
 
     def _look(self) -> None:
         if self.now - self.refreshed >= PERIOD_MS:
@@ -456,6 +458,8 @@
                     if self.now < since + self._late_after(part):
                         query.look_at = min(query.look_at, since + self._late_after(part))
                     else:
+                        for n in list(part.out):
+                            self._judge(self.attempts[part.id, n], lost=True)  # for now
                         self._try(part)
 
     # -- Ending queries. On call: one final answer each, in time, and honest.
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -383,6 +383,7 @@
         shut = {a.node for a in of(api.CloseIdle, acts)}
         closed += len(shut)
         b.wait(20.0)
+        b.now += 5.0
         for a in of(api.Send, acts):
             sent += 1
             if a.node in struck and a.node not in shut:
@@ -433,3 +434,17 @@
     b.do(api.View(api.ViewKind.DELTA, (line(10, 0, started=b.now - 500.0),)))
     _, sends = b.query(ALL)
     assert len(of(api.Send, sends)) == 1
+
+
+def test_silence_on_idle_connections_is_learned_at_the_late_mark():
+    # Where dropped connections give no answer, ten seconds of time-outs passed before any of them had ended.
+    b = Bench(extra_free=1000.0)
+    b.learn()
+    b.wait(2000.0)
+    b.query(ALL)
+    b.wait(400.0)
+    assert b.agg.idle_until > b.now and 1400.0 < b.agg.idle_most < 3500.0
+    answer_all(b)  # they were slow after all
+    b.wait(31_000.0)
+    _, acts = b.query(ALL)
+    assert not of(api.CloseIdle, acts)
