Admission by the spread of real answers, and answers in part at the aim

And 'gave up at 4.97 s with 18 of 20 parts in': speaker-report may be answered in part, which was looked at only at the end. Told from a jam by the usual time and by no server full. Now: the order statistic of recent answers over their mean (resampled, as the mechanism does), down to the least share that may be answered; and a class that may be answered in part is, at its aim (a late mark earlier before a second step), where what is in is worth more than a late whole answer. classPartial reaches the module. Assumptions of the earlier deployments: few parts a query, no partial answers.

--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -50,6 +50,7 @@
     worth: float
     need: float  # weight of the parts that make a whole answer
     floor: float  # least weight that an answer may rest on
+    partial: float  # worth of an answer not marked whole, times share over need
     second_step: int  # parts fetched after the first answer; 0 for none
 
 
--- a/badgerbend/benchlink.py
+++ b/badgerbend/benchlink.py
@@ -94,6 +94,7 @@
 
     count = whole("categories.count", 1)
     need, floor = floats("specifics.wholeAt", count), floats("specifics.minShare", count)
+    partial = floats("specifics.classPartial", count) if "specifics.classPartial" in facts else [1.0] * count
     follow = floats("specifics.followUp", count)
     classes = []
     for i in range(count):
@@ -112,6 +113,7 @@
                 worth=number(at + "value", 0.0),
                 need=need[i],
                 floor=floor[i],
+                partial=partial[i],
                 second_step=int(follow[i]),
             )
         )
--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -7,7 +7,7 @@
 from collections import Counter, deque
 from itertools import accumulate
 from math import inf, isfinite
-from statistics import median
+from statistics import fmean, median
 
 from badgerbend import api
 from badgerbend.api import Outcome
@@ -23,7 +23,6 @@
 DRAWS = 100  # resamples for the order statistics: error of a mean near a tenth of the spread
 PARALLEL = 2  # guessed parts that a server serves at once: small servers have two cores
 LATE_QUANTILE = 0.95  # a part slower than this share is late: one in twenty is helped for nothing
-CUT_LATES = 3.0  # where no second copy is allowed, an attempt is cut after so many late marks
 LATE_MIDDLES = 3.0  # so many times the middle answer is late whatever the record's end says
 FADE_MS = 10_000.0  # what a server's answers took counts half after this
 LAST_WEIGHT = 0.4  # and the last of them so much: three tell a slow server from a slow part
@@ -36,7 +35,7 @@
 COPY_PAYS = 1.5  # a copy first to answer pays for more than itself: two of three must win to go on
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
 REFUSE_OVER_QUOTA_AT = 0.5  # sooner for a tenant beyond its quota: what it adds is worth little
-ASK_FIRST = 16.0  # a failed call to the list is repeated in an eighth of the time for asking, then twice that
+ASK_FIRST = 8.0  # a failed call to the list is repeated in an eighth of the time for asking, then twice that
 LOST_SHARE = 0.2  # of parts sent on idle connections: more lost than this is no chance nor a few deaths
 LOST_FEW = 2.0  # and so many beyond it: three in a row
 SECOND_STEP = 1.5  # a second step has fewer and lighter parts than the first
@@ -63,7 +62,8 @@
 
 class _Part:
     def __init__(self, part: api.Part, query: _Query) -> None:
-        self.id, self.shard, self.weight, self.cost = part.id, part.shard, part.weight, part.cost_ms
+        self.id, self.shard, self.weight = part.id, part.shard, part.weight
+        self.cost = part.cost_ms if part.cost_ms and isfinite(part.cost_ms) else 0.0
         self.query, self.tries, self.done = query, 0, False
         self.out: dict[int, _Node] = {}  # attempts out
         self.used: list[_Node] = []
@@ -79,13 +79,18 @@
         self.parts, self.held = list[_Part](), list[_Part]()  # held: not sent, spares of an any-m query
         self.step, self.got, self.landed, self.look_at = 1, 0.0, 0, 0.0
         self.deaths, self.clean = dict[int, float](), False  # servers that died under it; a part was answered
-        self.wanted, self.scout = 0, False  # parts to send; scout: the first goes alone
+        self.wanted, self.scout, self.whole = 0, False, True  # parts to send; scout: the first goes alone
+
+    def fewest(self, share: float) -> int:
+        """So many parts surely weigh that share, whichever they are."""
+        sums = accumulate(sorted(p.weight for p in self.parts))
+        return min(1 + sum(1 for s in sums if share >= 1 or s < share - ROUNDING), len(self.parts))
 
 
 class Aggregator:
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.set, self.rng = settings, random.Random(seed)
-        self.now, self.began, self.acts = 0.0, -1.0, list[api.Action]()
+        self.now, self.began, self.acts = 0.0, inf, list[api.Action]()
         self.nodes, self.parts = dict[int, _Node](), dict[int, _Part]()
         self.holders: dict[int, list[_Node]] = {}  # ready servers by shard, found when first asked for
         self.sound = self.warm = 0  # servers in use, and those of them that are warm: counted once a period
@@ -97,14 +102,14 @@
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
         self.usual = self.late = self.cost = 0.0  # usual time of a part, late mark (0: not known); cost hint
         self.refreshed, self.chosen = -inf, dict[tuple[int, int], int]()
+        self.answered, self.spread = list[float](), dict[tuple[int, int], float]()  # of answers alone
         self.seen: dict[str, deque[float]] = {}  # times of queries, taken, sends, extra, tenants
         self.credit, self.alarm_at, self.killing_at = 1.0, -inf, -inf  # copies left; next look; last killing
         self.ask_at, self.unheard = -inf, 0  # next call to the list (inf: subscribed); calls failed in a row
 
     def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
         self.now, self.acts = now_ms, []
-        if self.began < 0:
-            self.began = now_ms
+        self.began = min(self.began, now_ms)
         for e in events:
             match e:
                 case api.Completed():
@@ -133,12 +138,10 @@
         """A failed call is repeated after a random wait that doubles up to the time in which we must have
         asked: all brokers calling back at once kept it out of reach for most. Harm: later news afterwards."""
         if view.kind == api.ViewKind.FAILED:
-            self.unheard += 1
             wait = self.set.must_ask_ms * min(1.0, 2.0**self.unheard / ASK_FIRST)
-            self.ask_at = self.now + wait * self.rng.uniform(0.5, 1.0)
+            self.ask_at, self.unheard = self.now + wait * self.rng.uniform(0.5, 1.0), self.unheard + 1
             return
-        if view.kind != api.ViewKind.CACHED:
-            self.ask_at, self.unheard = inf, 0
+        self.ask_at, self.unheard = (self.ask_at if view.kind == api.ViewKind.CACHED else inf), 0
         if view.kind != api.ViewKind.DELTA:  # a server missing from a whole list has left
             for node in self.nodes.values():
                 node.ready = False
@@ -189,11 +192,12 @@
 
     # -- The mechanism. On call: how many parts of an any-m query are sent (Joshi et al., Definition 8).
     def _refresh(self) -> None:
-        self.refreshed, self.chosen = self.now, {}
+        self.refreshed, self.chosen, self.spread = self.now, {}, {}
         self.latencies, self.weights = self._distribution()
         if len(self.latencies) >= FEW:
             # Lost parts weigh on the record's end, not on its middle: they must not put off their own rescue.
-            self.usual = median([ms for _, ms, gone in self.record if not gone][-2 * FEW :])
+            self.answered = [ms for _, ms, gone in self.record if not gone]
+            self.usual = median(self.answered[-2 * FEW :])
             late = self.latencies[bisect_left(self.weights, LATE_QUANTILE, hi=len(self.weights) - 1)]
             self.late = min(late, LATE_MIDDLES * self.usual)
         sound = [n for n in self.nodes.values() if n.ready and n.died_at == inf]
@@ -221,11 +225,11 @@
 
     # -- Replica choice. On call: fewest of our own parts out among the sound holders, ties at random.
     def _holders(self, shard: int) -> list[_Node]:
-        cells, reach = self.set.cells, self.set.reach
-        if shard % cells not in self.holders:
-            held = [n for n in self.nodes.values() if n.ready and (n.cell - shard) % cells < reach]
-            self.holders[shard % cells] = held
-        return self.holders[shard % cells]
+        cell = shard % self.set.cells
+        if cell not in self.holders:
+            ready = [n for n in self.nodes.values() if n.ready]
+            self.holders[cell] = [n for n in ready if (n.cell - cell) % self.set.cells < self.set.reach]
+        return self.holders[cell]
 
     def _calls(self, node: _Node) -> int:
         """Calls out to a server after one more part, which may ride on a call of this turn. Exception: a
@@ -267,32 +271,34 @@
         self._note("queries", "taken")
         self.queries[query.id] = self.by_number[query.number] = query
         self._take_parts(query, e.parts)
-        sums = accumulate(sorted(p.weight for p in query.parts))
-        m = min(1 + sum(1 for s in sums if cls.need >= 1 or s < cls.need - ROUNDING), len(query.parts))
         most = REFUSE_AT * cls.aim_ms
         if e.tenant < len(self.set.tenants):
             self._note(f"tenant {e.tenant}")
             quota = self.set.tenants[e.tenant].quota_per_s / self.set.brokers / 1000
             if self._rate(f"tenant {e.tenant}") > quota:
                 most = REFUSE_OVER_QUOTA_AT * cls.aim_ms
-        if not query.parts or self._foreseen(query, m) >= min(most, query.end_at - self.now):
+        if not query.parts or self._foreseen(query) >= min(most, query.end_at - self.now):
             self._end(query, self._give_up(query))
             return
-        query.wanted = self._redundancy(m, len(query.parts))
+        query.wanted = self._redundancy(query.fewest(cls.need), len(query.parts))
         query.scout = e.is_retry or self.now - self.killing_at < DEATHS_MS
         query.held = self.rng.sample(query.parts, len(query.parts))
         for _ in range(1 if query.scout else query.wanted):
             self._try(query.held.pop())
 
-    def _foreseen(self, query: _Query, m: int) -> float:
-        """How long a query taken now would take, from what its own shards' servers took lately: the m-th
-        order statistic of exponential times of that mean (the paper's case), and no less than its slowest."""
+    def _foreseen(self, query: _Query) -> float:
+        """How long a query taken now would take to the least it may be answered with: what its shards'
+        servers took lately, by order statistic of recent answers over their mean; its slowest at least."""
         if not self.late or not self.attempts:
             return 0.0
-        k, holders = len(query.parts), [self._holders(p.shard) for p in query.parts]
+        k, m = len(query.parts), query.fewest(min(query.cls.need, query.cls.floor))
+        holders = [self._holders(p.shard) for p in query.parts]
         known = [[n for n in held if n.time_at > self.now - FADE_MS / 2] or held for held in holders]
         times = sorted(min((self._time(n, FADE_MS / 2) for n in held), default=0.0) for held in known)[:m]
-        wait = max(times[-1], sum(times) / m * sum(1 / i for i in range(k - m + 1, k + 1)))
+        if (m, k) not in self.spread:
+            drawn = [self.rng.choices(self.answered, k=k) for _ in range(DRAWS)]
+            self.spread[m, k] = sum(sorted(d)[m - 1] for d in drawn) / DRAWS / fmean(self.answered)
+        wait = max(times[-1], sum(times) / m * self.spread[m, k])
         return wait * (SECOND_STEP if query.cls.second_step else 1.0)
 
     def _time(self, node: _Node, fade_ms: float = FADE_MS) -> float:
@@ -315,15 +321,13 @@
             query.parts.append(part)
             self._note("taken")
             self.credit = min(self.credit + RISK_SHARE, RISK_MOST)
-            if p.cost_ms is not None and isfinite(p.cost_ms) and p.cost_ms > 0:
-                self.cost += (p.cost_ms - self.cost) * (COST_WEIGHT if self.cost else 1.0)
+            if part.cost > 0:
+                self.cost += (part.cost - self.cost) * (COST_WEIGHT if self.cost else 1.0)
 
     # -- Sending and further attempts. On call: who gets a second try, and what it may cost.
     def _late_after(self, part: _Part) -> float:
         """The age at which an attempt is late; a part with a costly hint, so much later."""
-        if part.cost is None or not isfinite(part.cost) or self.cost <= 0:
-            return self.late or inf
-        return (self.late or inf) * max(1.0, part.cost / self.cost)
+        return (self.late or inf) * max(1.0, part.cost / (self.cost or inf))
 
     def _may_retry(self, part: _Part) -> bool:
         """What the class and the attempt budget allow; the budget is counted a tick to the safe side."""
@@ -334,16 +338,15 @@
         if cls.effect != "safe" and self.now > first + cls.repeat_window_ms - END_EARLY_MS:
             return False  # an unsafe part's window is nothing
         window, free, each = s.extra_window_ms, s.extra_free or 0.0, s.extra_share or 0.0
-        if window is None:
-            return True
-        made, taken = self._count("extra", window + TICK_MS), self._count("taken", window - TICK_MS)
-        return made + 1 <= free + each * taken
+        return window is None or self._count("extra", window + TICK_MS) + 1 <= (
+            free + each * self._count("taken", window - TICK_MS)
+        )
 
     def _kills(self, query: _Query) -> bool:
         """What began it died: a query may kill its servers. Until a part of it is answered it is not sent on
         while its other parts may tell, and no more after two servers, or one that its scout went to."""
-        waiting = any(p.out for p in query.parts)
-        return not query.clean and len(query.deaths) >= (1 if query.scout or waiting else 2)
+        most = 1 if query.scout or any(p.out for p in query.parts) else 2
+        return not query.clean and len(query.deaths) >= most
 
     def _try(self, part: _Part) -> bool:
         """Sends a part, once more if need be. A second copy costs `credit`, paid back if it is first to
@@ -371,10 +374,7 @@
         part.maybe_ran[part.tries] = self.now
         part.used.append(node)
         part.tries += 1
-        cap = part.query.end_at - self.now
-        if not self.set.second_copies and self.late:  # a late attempt must end before another may follow
-            cap = min(cap, CUT_LATES * self._late_after(part))
-        self.acts.append(api.Send(part.id, node.id, max(cap, 1.0)))
+        self.acts.append(api.Send(part.id, node.id, max(part.query.end_at - self.now, 1.0)))
         return True
 
     def _completed(self, e: api.Completed) -> None:
@@ -394,9 +394,8 @@
         self.record.append((self.now, took, not ok))
         # Broken before a part can have begun, a connection is as good as refused; later it may be a death.
         died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS
-        if ok:
-            if node.died_at < inf:  # it is back before the list says so, and cold
-                self._renew(node, node.died_at)
+        if ok and node.died_at < inf:  # it is back before the list says so, and cold
+            self._renew(node, node.died_at)
         elif e.outcome == Outcome.CONNECT_FAILED or died:
             self._renew(node, node.cold_since, min(node.died_at, self.now))
         part = self.parts.get(e.part)
@@ -419,7 +418,7 @@
                 self._try(query.held.pop())
             self._settle(query)
             return
-        if died:  # a crash takes all at once, a query that kills does so where and when each part is begun
+        if died:  # a crash takes all at once, a query that kills does so when each part is begun
             one_by_one = any(self.now - at > TICK_MS for n, at in query.deaths.items() if n != node.id)
             if not query.clean and (query.scout or one_by_one):
                 self.killing_at = self.now
@@ -451,7 +450,10 @@
         for query in list(self.queries.values()):
             if self.now >= query.end_at:
                 self._end(query, self._give_up(query))
-            elif self.now >= query.look_at:
+                continue
+            if query.parts:
+                self._settle(query)
+            if query.id in self.queries and self.now >= query.look_at:
                 query.look_at = self.now + AGAIN_MS
                 for part in [p for p in query.parts if not p.done and p not in query.held]:
                     since = max((node.out[part.id, n] for n, node in part.out.items()), default=-inf)
@@ -464,16 +466,23 @@
 
     # -- Ending queries. On call: one final answer each, in time, and honest.
     def _settle(self, query: _Query) -> None:
+        """Answers when a whole answer is in. Exception: a class that may be answered in part is at its aim,
+        or a late mark before it ahead of a second step, if what is in is worth more than a late whole one."""
         cls, first = query.cls, query.step == 1
-        enough = first and cls.need < 1 and query.got >= cls.need - ROUNDING
-        if not enough and query.landed < len(query.parts):
-            return
+        need = cls.need - ROUNDING if first and cls.need < 1 else inf  # without an any-m step all must be in
+        whole = query.landed == len(query.parts) or query.got >= need
+        if not whole:
+            early = END_EARLY_MS + (min(self.late, cls.aim_ms / 2) if first and cls.second_step else 0.0)
+            pays = cls.partial * query.got / cls.need > cls.late_worth
+            if self.now < query.aim_at - early or not pays or not cls.floor <= query.got < cls.need:
+                return
+        query.whole = query.whole and whole
         if first and cls.second_step:
-            self.acts.append(api.Answer(query.id, True))
+            self.acts.append(api.Answer(query.id, query.whole))
             self._drop_parts(query)
             query.parts, query.held = [], []
         else:
-            self._end(query, api.Answer(query.id, True))
+            self._end(query, api.Answer(query.id, query.whole))
 
     def _give_up(self, query: _Query) -> api.Action:
         """Answers from what is in where the floor allows, refuses if a repeat is harmless, else fails."""
