A connection that is slow to come up is no death, and open ones are kept and preferred while new ones fail

Symptom: 500 to 800 attempts in 5 s got no connection, on all servers alike, with a median of just the connect time-out, while open connections answered as usual. Cause: handshakes slower than the time-out. Every one was taken for a dead server, fed by tokens as cold, and what was late shut more links, so that ever more new ones were needed. Told from dead servers by the time (250 ms, not a round trip), by the list (nothing gone), by the same servers answering on open links; told from dropped links by the share of new connections that fail. Now: a connection that does not come up in time says 'slow', not 'dead'; the share of those failing is kept; over a fifth of them, no idle link is shut, and a server without an open link counts as so many calls busier. connIdleMs and connectTimeoutMs reach the module. Also holds against slow TLS, full accept queues, exhausted connection tables. Harm: a machine that vanished is fed at full pace until its time tells. Cold servers are paced by what all sound servers get, for in a release few are warm.

--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -76,6 +76,8 @@
     probing: bool
     retry_after: bool
     max_retry_after_ms: float
+    conn_idle_ms: float  # an idle connection is closed after this
+    connect_timeout_ms: float
     list_by_asking: bool
     must_ask_ms: float  # where the list is asked: a broker silent for longer counts as told
     over_share_worth: float
--- a/badgerbend/benchlink.py
+++ b/badgerbend/benchlink.py
@@ -117,6 +117,7 @@
                 second_step=int(follow[i]),
             )
         )
+    idle, connect = optional("ceilings.connIdleMs"), optional("ceilings.connectTimeoutMs")
     asked = facts.get("registryMode") == "ask"
     tenants = whole("tenants.count") if "tenants.count" in facts else 0
     return api.Settings(
@@ -135,6 +136,8 @@
         probing=flag("ceilings.probing"),
         retry_after=flag("ceilings.retryAfter"),
         max_retry_after_ms=number("ceilings.maxRetryAfterMs", 0.0),
+        conn_idle_ms=math.inf if idle is None else idle,
+        connect_timeout_ms=math.inf if connect is None else connect,
         list_by_asking=asked,
         must_ask_ms=number("obligations.mustAskInMs", 1.0) if asked else math.inf,
         over_share_worth=number("overShareWorth", 0.0),
--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -39,7 +39,7 @@
 LOST_SHARE = 0.2  # of parts sent on idle connections: more lost than this is no chance nor a few deaths
 LOST_FEW = 2.0  # and so many beyond it: three in a row
 SECOND_STEP = 1.5  # a second step has fewer and lighter parts than the first
-COST_WEIGHT = 0.05  # of a new cost hint in the usual one: the last twenty parts count
+MEAN_WEIGHT = 0.05  # of the last in a running mean (cost hints, new connections): the last twenty count
 ROUNDING = 5e-5  # sums of weights may come up short by this
 
 
@@ -56,7 +56,7 @@
 
 class _Attempt:
     def __init__(self, node: _Node, sent: float, idle: float) -> None:
-        self.node, self.sent, self.idle = node, sent, idle  # idle: how long its connection had been so
+        self.node, self.sent, self.idle = node, sent, idle  # idle: of its connection; inf: a new one
         self.lost: bool | None = None
 
 
@@ -78,7 +78,7 @@
             self.end_at = min(self.end_at, self.aim_at)
         self.parts, self.held = list[_Part](), list[_Part]()  # held: not sent, spares of an any-m query
         self.step, self.got, self.landed, self.look_at = 1, 0.0, 0, 0.0
-        self.deaths, self.clean = dict[int, float](), False  # servers that died under it; a part was answered
+        self.deaths, self.clean = set[int](), False  # servers that died under it; a part was answered
         self.wanted, self.scout, self.whole = 0, False, True  # parts to send; scout: the first goes alone
 
     def fewest(self, share: float) -> int:
@@ -93,11 +93,11 @@
         self.now, self.began, self.acts = 0.0, inf, list[api.Action]()
         self.nodes, self.parts = dict[int, _Node](), dict[int, _Part]()
         self.holders: dict[int, list[_Node]] = {}  # ready servers by shard, found when first asked for
-        self.sound = self.warm = 0  # servers in use, and those of them that are warm: counted once a period
+        self.sound = 0  # servers in use, counted once a period
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts: dict[tuple[int, int], _Attempt] = {}  # all that are out, called off or not
         self.judged: deque[_Attempt] = deque(maxlen=WINDOW_COUNT)  # those answered, lost or late
-        self.idle_most, self.idle_until = inf, -inf  # longest idle time trusted, and until when that holds
+        self.idle_most, self.idle_until, self.new_fail = inf, -inf, 0.0  # idle time trusted, till; new fail
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
         self.usual = self.late = self.cost = 0.0  # usual time of a part, late mark (0: not known); cost hint
@@ -112,11 +112,11 @@
         self.began = min(self.began, now_ms)
         for e in events:
             match e:
-                case api.Completed():
+                case api.Completed() if (e.part, e.attempt) in self.attempts:
                     self._completed(e)
                 case api.Query():
                     self._arrived(e)
-                case api.MoreParts():
+                case api.MoreParts(number) if number in self.by_number:
                     self._second_step(e)
                 case api.View():
                     self._view(e)
@@ -200,8 +200,7 @@
             self.usual = median(self.answered[-2 * FEW :])
             late = self.latencies[bisect_left(self.weights, LATE_QUANTILE, hi=len(self.weights) - 1)]
             self.late = min(late, LATE_MIDDLES * self.usual)
-        sound = [n for n in self.nodes.values() if n.ready and n.died_at == inf]
-        self.sound, self.warm = len(sound), sum(1 for n in sound if self._warmth(n) >= 1.0)
+        self.sound = sum(1 for n in self.nodes.values() if n.ready and n.died_at == inf)
 
     def _redundancy(self, m: int, k: int) -> int:
         """The r in m..k with the least T(r) among those with C(r) <= C(k); k without samples. Exception: m
@@ -237,7 +236,9 @@
         slower than usual; else a bad server looks idle and draws all. Rounded: what is about alike ties."""
         turns = Counter([*node.out.values(), self.now])
         slow = self._time(node) / self.usual - 1.0 if self.usual else 0.0
-        return sum(-(-n // self.set.parts_per_call) for n in turns.values()) + round(min(slow, SLOW_CALLS))
+        return sum(-(-n // self.set.parts_per_call) for n in turns.values()) + round(
+            min(slow, SLOW_CALLS) + (self.new_fail * SLOW_CALLS if self._idle(node) == inf else 0.0)
+        )
 
     def _warmth(self, node: _Node) -> float:
         if node.died_at < inf:  # it may be starting now, and the list not know yet
@@ -251,9 +252,9 @@
         warmth = self._warmth(node)
         if warmth >= 1.0:
             return True
-        pace = self._rate("sends") / max(1, self.warm) * self.set.overload_factor * COLD_PACE
-        node.tokens = min(1.0, node.tokens + pace * warmth * (self.now - node.tokens_at))
-        node.tokens_at = self.now
+        pace = self._rate("sends") / max(1, self.sound) * self.set.overload_factor * COLD_PACE
+        saved = node.tokens + pace * warmth * (self.now - node.tokens_at)
+        node.tokens, node.tokens_at = min(1.0, saved), self.now
         return node.tokens >= 1.0
 
     def _pick(self, part: _Part) -> _Node | None:
@@ -307,9 +308,7 @@
         return max(self.usual + lately, self.now - min(node.out.values(), default=self.now))
 
     def _second_step(self, e: api.MoreParts) -> None:
-        query = self.by_number.get(e.number)
-        if query is None:
-            return
+        query = self.by_number[e.number]
         query.step, query.got, query.landed, query.held, query.parts = 2, 0.0, 0, [], []
         self._take_parts(query, e.parts)
         for part in query.parts:
@@ -322,7 +321,7 @@
             self._note("taken")
             self.credit = min(self.credit + RISK_SHARE, RISK_MOST)
             if part.cost > 0:
-                self.cost += (part.cost - self.cost) * (COST_WEIGHT if self.cost else 1.0)
+                self.cost += (part.cost - self.cost) * (MEAN_WEIGHT if self.cost else 1.0)
 
     # -- Sending and further attempts. On call: who gets a second try, and what it may cost.
     def _late_after(self, part: _Part) -> float:
@@ -363,31 +362,31 @@
         self.credit -= bool(part.out)
         self._note("sends", *(["extra"] if part.tries else []))
         node.tokens -= self._warmth(node) < 1.0
-        idle = 0.0 if node.out or node.link_at == -inf else self.now - node.link_at
-        if idle > (self.idle_most if self.now < self.idle_until else inf):
+        idle = self._idle(node)
+        if self.idle_most < idle < inf and self.now < self.idle_until and self.new_fail < LOST_SHARE:
             self.acts.append(api.CloseIdle(node.id))
-            idle = 0.0
+            idle = inf
         self.attempts[part.id, part.tries] = _Attempt(node, self.now, idle)
         node.link_at = self.now
-        node.out[part.id, part.tries] = self.now
+        node.out[part.id, part.tries] = part.maybe_ran[part.tries] = self.now
         part.out[part.tries] = node
-        part.maybe_ran[part.tries] = self.now
         part.used.append(node)
         part.tries += 1
         self.acts.append(api.Send(part.id, node.id, max(part.query.end_at - self.now, 1.0)))
         return True
 
     def _completed(self, e: api.Completed) -> None:
-        attempt = self.attempts.pop((e.part, e.attempt), None)
-        if attempt is None:
-            return
-        node = attempt.node
-        node.out.pop((e.part, e.attempt))
-        took, ok = self.now - attempt.sent, e.outcome == Outcome.OK
+        attempt = self.attempts.pop((e.part, e.attempt))
+        node, sent = attempt.node, attempt.node.out.pop((e.part, e.attempt))
+        took, ok = self.now - sent, e.outcome == Outcome.OK
+        failed = e.outcome == Outcome.CONNECT_FAILED
+        slow_link = failed and e.elapsed_ms > self.set.connect_timeout_ms - BEGUN_MS  # no proof of a death
+        if attempt.idle == inf:
+            self.new_fail += (slow_link - self.new_fail) * MEAN_WEIGHT
         if ok or e.outcome == Outcome.ERROR:
             node.link_at = self.now
             self._judge(attempt, lost=False)
-        elif e.outcome == Outcome.RESET or took > (self.late or inf):
+        elif e.outcome == Outcome.RESET or took > (self.late or inf) or slow_link:
             node.link_at = -inf
             self.acts.extend([] if node.out else [api.CloseIdle(node.id)])
             self._judge(attempt, lost=True)
@@ -396,11 +395,11 @@
         died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS
         if ok and node.died_at < inf:  # it is back before the list says so, and cold
             self._renew(node, node.died_at)
-        elif e.outcome == Outcome.CONNECT_FAILED or died:
+        elif died or (failed and not slow_link):
             self._renew(node, node.cold_since, min(node.died_at, self.now))
         part = self.parts.get(e.part)
         usual = took / (self._late_after(part) / self.late if part and self.late else 1.0)
-        if e.outcome in (Outcome.FULL, Outcome.ERROR, Outcome.RESET):  # quick, but not idle
+        if e.outcome in (Outcome.FULL, Outcome.ERROR, Outcome.RESET) or slow_link:  # quick, but not idle
             usual = max(self._time(node) + self.usual, self.late)
         if ok or (self.late and usual > self._time(node)):
             old = self._time(node) if self.usual else usual
@@ -418,26 +417,29 @@
                 self._try(query.held.pop())
             self._settle(query)
             return
-        if died:  # a crash takes all at once, a query that kills does so when each part is begun
-            one_by_one = any(self.now - at > TICK_MS for n, at in query.deaths.items() if n != node.id)
-            if not query.clean and (query.scout or one_by_one):
-                self.killing_at = self.now
-            query.deaths[node.id] = self.now
+        if died:
+            self.killing_at = self.now if query.scout and not query.clean else self.killing_at
+            query.deaths.add(node.id)
         if self._kills(query) and not any(p.out for p in query.parts):
             self._end(query, self._give_up(query))
         elif not part.out:
             self._try(part)
 
     # -- Connections. On call: one idle for longer than lately was safe is shut; the part opens another.
+    def _idle(self, node: _Node) -> float:
+        idle = 0.0 if node.out else self.now - node.link_at
+        return idle if idle < self.set.conn_idle_ms else inf
+
     def _judge(self, attempt: _Attempt, lost: bool) -> None:
         """Guards against connections that something between drops unseen while idle: a reset, or no answer.
         Acts when parts sent after more than some idle time are lost far more often than others, for half a
         minute. Harm: a new connection for each part, which is slow where handshakes are."""
         self.judged.extend([attempt] if attempt.lost is None else [])
         attempt.lost = lost
-        if not lost or attempt.idle <= 0:
+        if not lost or not 0 < attempt.idle < inf:
             return
-        rows = sorted(((a.idle, a.lost) for a in self.judged if a.sent > self.now - WINDOW_MS), reverse=True)
+        recent = [a for a in self.judged if a.sent > self.now - WINDOW_MS and a.idle < inf]
+        rows = sorted(((a.idle, a.lost) for a in recent), reverse=True)
         excess = best = 0.0
         for (idle, bad), (below, _) in zip(rows, rows[1:] + [(0.0, False)], strict=True):
             excess += bool(bad) - LOST_SHARE
@@ -447,13 +449,12 @@
     def _look(self) -> None:
         if self.now - self.refreshed >= PERIOD_MS:
             self._refresh()
+        for query in [q for q in self.queries.values() if q.parts]:
+            self._settle(query)
         for query in list(self.queries.values()):
             if self.now >= query.end_at:
                 self._end(query, self._give_up(query))
-                continue
-            if query.parts:
-                self._settle(query)
-            if query.id in self.queries and self.now >= query.look_at:
+            elif self.now >= query.look_at:
                 query.look_at = self.now + AGAIN_MS
                 for part in [p for p in query.parts if not p.done and p not in query.held]:
                     since = max((node.out[part.id, n] for n, node in part.out.items()), default=-inf)
