Distrust of idle links rests on the last forty parts, is taken back by answers, and frees the holders of lost parts

And over ten seconds of good answers before the trouble it took five seconds until the losses outweighed them. Now: judged on the last forty parts on open links; what is late on a distrusted link is called off, its link shut, and sent anew as a failed attempt, not a copy; an answer from a link thought dead takes the verdict back. Told from a jam by those answers. Harm: a wave of late parts after a quiet spell looks the same until they come.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -37,7 +37,7 @@
 REFUSE_OVER_QUOTA_AT = 0.5  # sooner for a tenant beyond its quota: what it adds is worth little
 ASK_FIRST = 8.0  # a failed call to the list is repeated in an eighth of the time for asking, then twice that
 LOST_SHARE = 0.2  # of parts sent on idle connections: more lost than this is no chance nor a few deaths
-LOST_FEW = 2.0  # and so many beyond it: three in a row
+LOST_FEW = 4.0  # and so many beyond it: six in a row
 SECOND_STEP = 1.5  # a second step has fewer and lighter parts than the first
 MEAN_WEIGHT = 0.05  # of the last in a running mean (cost hints, new connections): the last twenty count
 ROUNDING = 5e-5  # sums of weights may come up short by this
@@ -96,7 +96,7 @@
         self.sound = 0  # servers in use, counted once a period
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts: dict[tuple[int, int], _Attempt] = {}  # all that are out, called off or not
-        self.judged: deque[_Attempt] = deque(maxlen=WINDOW_COUNT)  # those answered, lost or late
+        self.judged: deque[_Attempt] = deque(maxlen=2 * FEW)  # those answered, lost or late
         self.idle_most, self.idle_until, self.new_fail = inf, -inf, 0.0  # idle time trusted, till; new fail
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
@@ -235,16 +235,13 @@
         server that is slow by its last answers, or by their absence, counts as so many calls more as it is
         slower than usual; else a bad server looks idle and draws all. Rounded: what is about alike ties."""
         turns = Counter([*node.out.values(), self.now])
-        slow = self._time(node) / self.usual - 1.0 if self.usual else 0.0
-        return sum(-(-n // self.set.parts_per_call) for n in turns.values()) + round(
-            min(slow, SLOW_CALLS) + (self.new_fail * SLOW_CALLS if self._idle(node) == inf else 0.0)
-        )
+        slow = min(self._time(node) / self.usual - 1.0 if self.usual else 0.0, SLOW_CALLS)
+        slow += self.new_fail * SLOW_CALLS if self._idle(node) == inf else 0.0  # it needs a new connection
+        return sum(-(-n // self.set.parts_per_call) for n in turns.values()) + round(slow)
 
     def _warmth(self, node: _Node) -> float:
-        if node.died_at < inf:  # it may be starting now, and the list not know yet
-            return self.set.cold_from
-        share = max(self.now - node.cold_since, 0.0) / max(self.set.cold_ms, 1.0)
-        return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * share)
+        age = 0.0 if node.died_at < inf else max(self.now - node.cold_since, 0.0)  # dead: it may start unseen
+        return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * age / max(self.set.cold_ms, 1.0))
 
     def _admits(self, node: _Node) -> bool:
         """Slow start: a cold server gets tokens at our own pace to a warm one, times its least warmth and
@@ -363,7 +360,7 @@
         self._note("sends", *(["extra"] if part.tries else []))
         node.tokens -= self._warmth(node) < 1.0
         idle = self._idle(node)
-        if self.idle_most < idle < inf and self.now < self.idle_until and self.new_fail < LOST_SHARE:
+        if self._distrusts(idle):
             self.acts.append(api.CloseIdle(node.id))
             idle = inf
         self.attempts[part.id, part.tries] = _Attempt(node, self.now, idle)
@@ -381,8 +378,7 @@
         took, ok = self.now - sent, e.outcome == Outcome.OK
         failed = e.outcome == Outcome.CONNECT_FAILED
         slow_link = failed and e.elapsed_ms > self.set.connect_timeout_ms - BEGUN_MS  # no proof of a death
-        if attempt.idle == inf:
-            self.new_fail += (slow_link - self.new_fail) * MEAN_WEIGHT
+        self.new_fail += (slow_link - self.new_fail) * MEAN_WEIGHT * (attempt.idle == inf)
         if ok or e.outcome == Outcome.ERROR:
             node.link_at = self.now
             self._judge(attempt, lost=False)
@@ -430,21 +426,22 @@
         idle = 0.0 if node.out else self.now - node.link_at
         return idle if idle < self.set.conn_idle_ms else inf
 
+    def _distrusts(self, idle: float) -> bool:
+        return self.idle_most <= idle < inf and self.now < self.idle_until and self.new_fail < LOST_SHARE
+
     def _judge(self, attempt: _Attempt, lost: bool) -> None:
-        """Guards against connections that something between drops unseen while idle: a reset, or no answer.
-        Acts when parts sent after more than some idle time are lost far more often than others, for half a
-        minute. Harm: a new connection for each part, which is slow where handshakes are."""
-        self.judged.extend([attempt] if attempt.lost is None else [])
+        """Guards against connections dropped unseen while idle (reset, or no answer). Acts for half a minute
+        when most parts beyond some idle time are lost. Harm: new connections, where handshakes are slow."""
+        mistaken = attempt.lost and not lost and self.idle_most < attempt.idle < inf  # late, but answered
+        self.judged.extend([attempt] if attempt.lost is None and attempt.idle < inf else [])
         attempt.lost = lost
-        if not lost or not 0 < attempt.idle < inf:
-            return
-        recent = [a for a in self.judged if a.sent > self.now - WINDOW_MS and a.idle < inf]
-        rows = sorted(((a.idle, a.lost) for a in recent), reverse=True)
-        excess = best = 0.0
-        for (idle, bad), (below, _) in zip(rows, rows[1:] + [(0.0, False)], strict=True):
-            excess += bool(bad) - LOST_SHARE
-            if bad and idle > 0 and excess > max(best, LOST_FEW):
-                best, self.idle_most, self.idle_until = excess, (idle + below) / 2, self.now + DEATHS_MS
+        if lost or mistaken:
+            rows = sorted(((a.idle, a.lost) for a in self.judged), reverse=True)
+            self.idle_until, excess, best = -inf if mistaken else self.idle_until, 0.0, LOST_FEW
+            for (idle, bad), (below, _) in zip(rows, rows[1:] + [(0.0, False)], strict=False):
+                excess += bool(bad) - LOST_SHARE
+                if bad and idle > 0 and excess > best:
+                    best, self.idle_most, self.idle_until = excess, (idle + below) / 2, self.now + DEATHS_MS
 
     def _look(self) -> None:
         if self.now - self.refreshed >= PERIOD_MS:
@@ -461,8 +458,12 @@
                     if self.now < since + self._late_after(part):
                         query.look_at = min(query.look_at, since + self._late_after(part))
                     else:
-                        for n in list(part.out):
+                        for n, node in list(part.out.items()):
                             self._judge(self.attempts[part.id, n], lost=True)  # for now
+                            if self._distrusts(self.attempts[part.id, n].idle):
+                                self.acts.extend([api.Cancel(part.id, n), api.CloseIdle(node.id)])
+                                node.link_at = -inf
+                                del part.out[n]
                         self._try(part)
 
     # -- Ending queries. On call: one final answer each, in time, and honest.
