A query that no attempt out or allowed can answer ends at once; late is three middle answers

A query whose part had used its attempts, or whose unsafe part may have run, was held until its time was nearly up: found in a list of queries that ended with 10 of 11 parts in and (4 tries, 0 out). It now gets its final answer at once, so the client can ask again; refused where that is harmless, else failed.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect_left
 from collections import Counter, deque
 from itertools import accumulate
 from math import inf, isfinite
@@ -22,8 +21,7 @@
 PERIOD_MS = 1_000.0  # the design's period for choosing r
 DRAWS = 100  # resamples for the order statistics: error of a mean near a tenth of the spread
 PARALLEL = 2  # guessed parts that a server serves at once: small servers have two cores
-LATE_QUANTILE = 0.95  # a part slower than this share is late: one in twenty is helped for nothing
-LATE_MIDDLES = 3.0  # so many times the middle answer is late whatever the record's end says
+LATE_MIDDLES = 3.0  # so many times the middle answer is late: parts of one kind differ by less
 FADE_MS = 10_000.0  # what a server's answers took counts half after this
 LAST_WEIGHT = 0.4  # and the last of them so much: three tell a slow server from a slow part
 COLD_PACE = 0.75  # of the multiple that fells a cold server: the rest is for chance and for others' guesses
@@ -194,12 +192,10 @@
     def _refresh(self) -> None:
         self.refreshed, self.chosen, self.spread = self.now, {}, {}
         self.latencies, self.weights = self._distribution()
-        if len(self.latencies) >= FEW:
-            # Lost parts weigh on the record's end, not on its middle: they must not put off their own rescue.
-            self.answered = [ms for _, ms, gone in self.record if not gone]
-            self.usual = median(self.answered[-2 * FEW :])
-            late = self.latencies[bisect_left(self.weights, LATE_QUANTILE, hi=len(self.weights) - 1)]
-            self.late = min(late, LATE_MIDDLES * self.usual)
+        answered = [ms for _, ms, gone in self.record if not gone]
+        if len(answered) >= FEW:  # lost parts are left out: they must not put off their own rescue
+            self.answered, self.usual = answered, median(answered[-2 * FEW :])
+            self.late = LATE_MIDDLES * self.usual
         self.sound = sum(1 for n in self.nodes.values() if n.ready and n.died_at == inf)
 
     def _redundancy(self, m: int, k: int) -> int:
@@ -344,6 +340,14 @@
         most = 1 if query.scout or any(p.out for p in query.parts) else 2
         return not query.clean and len(query.deaths) >= most
 
+    def _hopeless(self, query: _Query) -> bool:
+        """No attempt out or allowed can bring it to the least it may be answered with: it ends at once."""
+        cls, undone = query.cls, [p for p in query.parts if not p.done]
+        most, once = self.set.max_attempts, cls.effect == "unsafe"
+        spent = sum(p.weight for p in undone if not p.out and (p.tries >= most or (once and p.maybe_ran)))
+        stuck = self._kills(query) and not any(p.out for p in undone)
+        return stuck or spent > 1.0 - min(cls.floor, cls.need if query.step == 1 else 1.0) + ROUNDING
+
     def _try(self, part: _Part) -> bool:
         """Sends a part, once more if need be. A second copy costs `credit`, paid back if it is first to
         answer: many where servers lose parts, few where all are slow from load, which copies only add to."""
@@ -387,8 +391,7 @@
             self.acts.extend([] if node.out else [api.CloseIdle(node.id)])
             self._judge(attempt, lost=True)
         self.record.append((self.now, took, not ok))
-        # Broken before a part can have begun, a connection is as good as refused; later it may be a death.
-        died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS
+        died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS  # sooner is as good as refused
         if ok and node.died_at < inf:  # it is back before the list says so, and cold
             self._renew(node, node.died_at)
         elif died or (failed and not slow_link):
@@ -416,10 +419,8 @@
         if died:
             self.killing_at = self.now if query.scout and not query.clean else self.killing_at
             query.deaths.add(node.id)
-        if self._kills(query) and not any(p.out for p in query.parts):
+        if (part.out or not self._try(part)) and self._hopeless(query):
             self._end(query, self._give_up(query))
-        elif not part.out:
-            self._try(part)
 
     # -- Connections. On call: one idle for longer than lately was safe is shut; the part opens another.
     def _idle(self, node: _Node) -> float:
