--- /dev/null
+++ b/tests/test_random.py
@@ -0,0 +1,155 @@
+"""Random streams of events: the six rules hold over settings that no single test combines."""
+
+import random
+from collections import defaultdict
+from dataclasses import replace
+
+import pytest
+from conftest import SETTINGS, line
+
+from badgerbend import Aggregator, api
+from badgerbend.api import Outcome
+
+ENDS = (api.Answer, api.Refuse, api.Fail)
+BAD = (Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.MOOT)
+PROOF = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+CLASSES = (
+    api.QueryClass(800.0, 2000.0, "safe", 0.0, 0.3, 1.0, 0.6, 0.6, 0.9, 0),
+    api.QueryClass(800.0, 2000.0, "safe", 0.0, 0.1, 2.0, 1.0, 0.7, 0.9, 2),
+    api.QueryClass(600.0, 2000.0, "unsafe", 0.0, 0.0, 1.0, 1.0, 1.0, 0.9, 0),
+    api.QueryClass(600.0, 2000.0, "keyed", 500.0, 0.1, 1.0, 1.0, 1.0, 0.9, 0),
+)
+
+
+class Referee:
+    """Plays a small, unkind world to one aggregator and checks each action as it comes."""
+
+    def __init__(self, seed, settings):
+        self.rng, self.set, self.now = random.Random(seed), settings, 1000.0
+        self.agg = Aggregator(settings, seed)
+        self.next_id, self.number, self.due, self.out = 1, 0, [], {}
+        self.queries, self.parts, self.told = {}, {}, {}
+        self.tries, self.unproven = defaultdict(int), defaultdict(dict)
+        self.taken, self.extra = [], []
+        self.step([api.View(api.ViewKind.CACHED, tuple(line(10 + i, i % 4) for i in range(8)))])
+
+    def step(self, events):
+        for e in events:
+            if isinstance(e, api.Completed) and e.outcome in PROOF:
+                self.unproven[e.part].pop(e.attempt, None)
+            if isinstance(e, api.Completed) and e.outcome == Outcome.OK and e.part in self.parts:
+                self.parts[e.part]["ok"] = True
+        for a in self.agg.step(self.now, events):
+            self.check(a)
+
+    def check(self, a):
+        if isinstance(a, api.Send):
+            part = self.parts[a.part]
+            q = self.queries[part["query"]]
+            assert q["open"] and self.now < q["end"]
+            assert a.node not in self.told
+            n, sent = self.tries[a.part], self.unproven[a.part]
+            assert n < self.set.max_attempts
+            if q["cls"].effect == "unsafe":
+                assert not sent
+            elif q["cls"].effect == "keyed" and sent:
+                assert self.now <= min(sent.values()) + q["cls"].repeat_window_ms
+            if n and self.set.extra_window_ms:
+                since = self.now - self.set.extra_window_ms
+                self.extra = [t for t in self.extra if t > since] + [self.now]
+                taken = sum(1 for t in self.taken if t > since)
+                assert len(self.extra) <= self.set.extra_free + self.set.extra_share * taken
+            sent[n] = self.now
+            self.tries[a.part] = n + 1
+            self.out[a.part, n] = a.node
+            slow = self.rng.random() < 0.15
+            ended = Outcome.OK if self.rng.random() < 0.75 else self.rng.choice(BAD)
+            took = self.rng.uniform(1.0, 90.0) if not slow else self.rng.uniform(300.0, 3000.0)
+            took = min(took, a.timeout_ms)
+            ended = ended if took < a.timeout_ms else Outcome.TIMEOUT
+            self.due.append((self.now + took, a.part, n, a.node, ended, took))
+        elif isinstance(a, api.Cancel):
+            for d in [d for d in self.due if d[1:3] == (a.part, a.attempt)]:
+                self.due.remove(d)
+                self.due.append((self.now, *d[1:4], Outcome.CANCELLED, 50.0))
+        elif isinstance(a, ENDS):
+            q = self.queries[a.query]
+            assert q["open"] and self.now <= q["end"] + 20.0
+            mine = [p for p in self.parts.values() if p["query"] == a.query and p["step"] == q["step"]]
+            share = sum(p["weight"] for p in mine if p.get("ok"))
+            if isinstance(a, api.Refuse) and q["cls"].effect == "unsafe":
+                assert not any(self.unproven[p["id"]] for p in mine)
+            if isinstance(a, api.Answer):
+                last = q["step"] == 2
+                need = 1.0 if last else q["cls"].need
+                least = q["cls"].floor if q["cls"].floor < q["cls"].need else need
+                assert share >= least - 1e-4
+                assert not a.whole or (share >= need - 1e-4 and q["whole"])
+                q["whole"] = q["whole"] and a.whole
+                if q["cls"].second_step and not last:
+                    q["step"], q["more"] = 2, True
+                    return
+            q["open"] = False
+        else:
+            assert not isinstance(a, api.Probe) or self.set.probing
+
+    def submit(self):
+        cls = self.rng.randrange(len(CLASSES))
+        qid, left = self.next_id, self.rng.choice([15.0, 300.0, 1200.0, 2000.0])
+        self.number += 1
+        self.queries[qid] = {"cls": CLASSES[cls], "open": True, "end": self.now + left, "step": 1,
+                             "number": self.number, "whole": True, "more": False}  # fmt: skip
+        self.next_id += 1
+        parts = self.more(qid, self.rng.randint(1, 8), 1)
+        self.taken += [self.now] * (1 + len(parts))
+        return api.Query(qid, self.number, cls, 0, 0, left, False, None, parts)
+
+    def more(self, qid, count, step):
+        parts = []
+        for _ in range(count):
+            pid, self.next_id = self.next_id, self.next_id + 1
+            self.parts[pid] = {"id": pid, "query": qid, "weight": 1 / count, "step": step}
+            parts.append(api.Part(pid, self.rng.randrange(4), 1 / count, None))
+        return tuple(parts)
+
+    def news(self):
+        node, state = 10 + self.rng.randrange(8), self.rng.choice(list(api.NodeState))
+        if self.rng.random() < 0.3:
+            return api.View(api.ViewKind.FAILED, ())
+        if state == api.NodeState.READY:
+            self.told.pop(node, None)
+        else:
+            self.told[node] = self.now
+        return api.View(api.ViewKind.DELTA, (line(node, (node - 10) % 4, state, self.now),))
+
+    def play(self, steps):
+        for _ in range(steps):
+            self.now += 5.0
+            now_due = [d for d in self.due if d[0] <= self.now]
+            self.due = [d for d in self.due if d[0] > self.now]
+            events = [api.Completed(p, n, node, out, took, ()) for _, p, n, node, out, took in now_due]
+            for qid, q in self.queries.items():
+                if q["more"] and q["open"]:
+                    q["more"] = False
+                    extra = self.more(qid, 2, 2)
+                    self.taken += [self.now] * len(extra)
+                    events.append(api.MoreParts(q["number"], extra))
+            if self.rng.random() < 0.15:
+                events.append(self.submit())
+            if self.rng.random() < 0.02:
+                events.append(self.news())
+            self.step([*events, api.Alarm(0)])
+            late = [q for q in self.queries.values() if q["open"] and self.now > q["end"] + 20.0]
+            assert not late
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("changes", [
+    {"extra_free": 5.0, "extra_share": 0.1, "extra_window_ms": 2000.0, "parts_per_call": 4},
+    {"extra_free": None, "extra_share": None, "extra_window_ms": None, "probing": False, "tenants": ()},
+    {"list_by_asking": True, "retry_after": True, "second_copies": False},
+])  # fmt: skip
+def test_the_rules_hold_on_random_days(seed, changes):
+    referee = Referee(seed, replace(SETTINGS, classes=CLASSES, cells=4, reach=2, **changes))
+    referee.play(2000)
+    assert sum(not q["open"] for q in referee.queries.values()) > 200
