A zone that loses far more than another counts as busier; servers that left are forgotten

Cause: evidence is kept by server, and a broker with 14 parts a second over 88 servers loses one at each before it knows. Told from bad servers by the zones' own table (3% against 99%), from a broker's own trouble by the other zone's answers. Now: the share of parts lost or late by zone, a running mean; half of all parts above the best zone, its servers count as four calls busier. Holds against cut links, a room without power, a bad switch. Harm: a sound copy in a zone in which most fail is passed over while others hold the shard. Lines of servers that left are dropped from memory; they had piled up over releases.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -16,8 +16,8 @@
 AGAIN_MS = 100.0  # what could not be sent is tried again so often
 END_EARLY_MS = 30.0  # last answers and keyed repeats leave this long before their limit: a tick and a batch
 WINDOW_MS = 10_000.0  # the record's age limit, so that the mix before a shift is gone soon after it
-WINDOW_COUNT = 400  # and its size limit: enough for a 95th percentile, cheap to sort each second
-FEW = 20  # below so many answers the record says nothing: a 95th percentile needs twenty
+WINDOW_COUNT = 400  # and its size limit: enough for the tail that spares answer, cheap to sort each second
+FEW = 20  # below so many answers the record says nothing: the middle of twenty is steady
 PERIOD_MS = 1_000.0  # the design's period for choosing r
 DRAWS = 100  # resamples for the order statistics: error of a mean near a tenth of the spread
 PARALLEL = 2  # guessed parts that a server serves at once: small servers have two cores
@@ -37,14 +37,15 @@
 LOST_SHARE = 0.2  # of parts sent on idle connections: more lost than this is no chance nor a few deaths
 LOST_FEW = 4.0  # and so many beyond it: six in a row
 SECOND_STEP = 1.5  # a second step has fewer and lighter parts than the first
-MEAN_WEIGHT = 0.05  # of the last in a running mean (cost hints, new connections): the last twenty count
+CUT_OFF = 0.5  # a zone loses so much more of its parts than another: most of it is out of reach
+MEAN_WEIGHT = 0.05  # of the last in a running mean (hints, connections, zones): the last twenty count
 ROUNDING = 5e-5  # sums of weights may come up short by this
 
 
 # -- Knowledge. On call: what this broker has seen; none of it outlives a restart.
 class _Node:
     def __init__(self, line: api.NodeLine) -> None:
-        self.id, self.cell, self.ready, self.started = line.node, line.cell, False, -1.0
+        self.id, self.cell, self.zone, self.ready, self.started = line.node, line.cell, line.zone, False, -1.0
         self.cold_since, self.tokens, self.tokens_at = -inf, 0.0, 0.0
         self.out: dict[tuple[int, int], float] = {}  # our attempts out: when sent
         self.died_at = inf  # when it first refused or broke connections since it was heard
@@ -96,6 +97,7 @@
         self.attempts: dict[tuple[int, int], _Attempt] = {}  # all that are out, called off or not
         self.judged: deque[_Attempt] = deque(maxlen=2 * FEW)  # those answered, lost or late
         self.idle_most, self.idle_until, self.new_fail = inf, -inf, 0.0  # idle time trusted, till; new fail
+        self.lost: dict[int, float] = {}  # by zone: share of parts lost or late, a running mean
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
         self.usual = self.late = self.cost = 0.0  # usual time of a part, late mark (0: not known); cost hint
@@ -106,8 +108,7 @@
         self.ask_at, self.unheard = -inf, 0  # next call to the list (inf: subscribed); calls failed in a row
 
     def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
-        self.now, self.acts = now_ms, []
-        self.began = min(self.began, now_ms)
+        self.now, self.acts, self.began = now_ms, [], min(self.began, now_ms)
         for e in events:
             match e:
                 case api.Completed() if (e.part, e.attempt) in self.attempts:
@@ -140,9 +141,8 @@
             self.ask_at, self.unheard = self.now + wait * self.rng.uniform(0.5, 1.0), self.unheard + 1
             return
         self.ask_at, self.unheard = (self.ask_at if view.kind == api.ViewKind.CACHED else inf), 0
-        if view.kind != api.ViewKind.DELTA:  # a server missing from a whole list has left
-            for node in self.nodes.values():
-                node.ready = False
+        for node in self.nodes.values() if view.kind != api.ViewKind.DELTA else ():
+            node.ready = False  # a server missing from a whole list has left
         for line in view.lines:
             node = self.nodes.setdefault(line.node, _Node(line))
             if line.started_ms > node.started:
@@ -150,7 +150,7 @@
                 node.started = line.started_ms
                 self._renew(node, line.started_ms or -inf)
             node.cell, node.ready = line.cell, line.state == api.NodeState.READY
-        self.holders = {}
+        self.holders, self.nodes = {}, {i: n for i, n in self.nodes.items() if n.ready or n.out}
 
     def _renew(self, node: _Node, cold_since: float, died_at: float = inf) -> None:  # its past is void
         node.died_at, node.cold_since = died_at, cold_since
@@ -205,8 +205,7 @@
             return k
         if (m, k) not in self.chosen:
             draws = [self.rng.choices(self.latencies, cum_weights=self.weights, k=k) for _ in range(DRAWS)]
-            # Our share of the servers: the other brokers are taken to send as much as we do.
-            rate, room = self._rate("queries"), self.sound * PARALLEL / self.set.brokers
+            rate, room = self._rate("queries"), self.sound * PARALLEL / self.set.brokers  # others send alike
             best, least, most = m, inf, 0.0
             for r in range(k, m - 1, -1):
                 xs = [sorted(d[:r])[m - 1] for d in draws]
@@ -227,12 +226,12 @@
         return self.holders[cell]
 
     def _calls(self, node: _Node) -> int:
-        """Calls out to a server after one more part, which may ride on a call of this turn. Exception: a
-        server that is slow by its last answers, or by their absence, counts as so many calls more as it is
-        slower than usual; else a bad server looks idle and draws all. Rounded: what is about alike ties."""
+        """Calls out after one more part, which may ride on one of this turn. Exception: a server slow by its
+        last answers or their absence, or in a zone out of reach, counts as more; else it looks idle."""
         turns = Counter([*node.out.values(), self.now])
         slow = min(self._time(node) / self.usual - 1.0 if self.usual else 0.0, SLOW_CALLS)
         slow += self.new_fail * SLOW_CALLS if self._idle(node) == inf else 0.0  # it needs a new connection
+        slow += SLOW_CALLS * (self.lost.get(node.zone, 0.0) - min(self.lost.values(), default=0.0) > CUT_OFF)
         return sum(-(-n // self.set.parts_per_call) for n in turns.values()) + round(slow)
 
     def _warmth(self, node: _Node) -> float:
@@ -386,7 +385,7 @@
         if ok or e.outcome == Outcome.ERROR:
             node.link_at = self.now
             self._judge(attempt, lost=False)
-        elif e.outcome == Outcome.RESET or took > (self.late or inf) or slow_link:
+        elif e.outcome == Outcome.RESET or took > (self.late or inf) or failed:
             node.link_at = -inf
             self.acts.extend([] if node.out else [api.CloseIdle(node.id)])
             self._judge(attempt, lost=True)
@@ -435,7 +434,8 @@
         when most parts beyond some idle time are lost. Harm: new connections, where handshakes are slow."""
         mistaken = attempt.lost and not lost and self.idle_most < attempt.idle < inf  # late, but answered
         self.judged.extend([attempt] if attempt.lost is None and attempt.idle < inf else [])
-        attempt.lost = lost
+        attempt.lost, zone = lost, attempt.node.zone
+        self.lost[zone] = self.lost.get(zone, 0.0) * (1 - MEAN_WEIGHT) + lost * MEAN_WEIGHT
         if lost or mistaken:
             rows = sorted(((a.idle, a.lost) for a in self.judged), reverse=True)
             self.idle_until, excess, best = -inf if mistaken else self.idle_until, 0.0, LOST_FEW
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -553,3 +553,25 @@
     for n in range(SETTINGS.max_attempts):
         acts = b.finish(of(api.Send, sends)[0].part, Outcome.ERROR, n)
     assert not of(api.Refuse, acts) and q in b.agg.queries
+
+
+def test_a_zone_out_of_reach_is_avoided_before_each_of_its_servers_was_tried():
+    # Half the servers, a whole room, were silent at once: a broker with few parts lost one at each of them.
+    lines = [api.NodeLine(10 + i, i % 4, api.NodeState.READY, 0.0, i // 20, 0, 1.0) for i in range(40)]
+    b = Bench(lines=lines, extra_free=1000.0)
+    b.learn()
+    silent = set(range(10, 30))
+    busy(b, silent, ms=2500.0)
+    before = len(b.sent)
+    busy(b, silent, ms=1000.0)
+    sent = [node for node, _ in list(b.sent.values())[before:]]
+    assert sum(node in silent for node in sent) < 0.1 * len(sent)
+
+
+def test_servers_that_left_are_forgotten():
+    # Releases bring new ids: what was known of old ones was kept for ever.
+    b = Bench()
+    for i in range(50):
+        old, new = line(100 + i, 0, api.NodeState.GONE), line(101 + i, 0)
+        b.do(api.View(api.ViewKind.DELTA, (new, old)))
+    assert len(b.agg.nodes) <= 6
