--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -557,10 +557,10 @@
 
 def test_a_zone_out_of_reach_is_avoided_before_each_of_its_servers_was_tried():
     # Half the servers, a whole room, were silent at once: a broker with few parts lost one at each of them.
-    lines = [api.NodeLine(10 + i, i % 4, api.NodeState.READY, 0.0, i // 20, 0, 1.0) for i in range(40)]
+    lines = [api.NodeLine(10 + i, i % 4, api.NodeState.READY, 0.0, i // 200, 0, 1.0) for i in range(400)]
     b = Bench(lines=lines, extra_free=1000.0)
     b.learn()
-    silent = set(range(10, 30))
+    silent = set(range(10, 210))
     busy(b, silent, ms=2500.0)
     before = len(b.sent)
     busy(b, silent, ms=1000.0)
