New connections that fail count only outside a zone that is out of reach

Symptom: while the zone is cut, 700 to 940 attempts in 5 s get no connection and 1,100 time out, at links that were dropped while idle and had been handled before the cut. Cause: connections into the cut zone failed, so the share of failing new ones rose over a fifth, and the guard against slow handshakes kept all idle links open, the dropped ones too. It showed away from its cause: parts were lost on links to zones that were never cut. Now: a new connection to a zone that loses far more than another says nothing of the others.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -92,11 +92,10 @@
         self.now, self.began, self.acts = 0.0, inf, list[api.Action]()
         self.nodes, self.parts = dict[int, _Node](), dict[int, _Part]()
         self.holders: dict[int, list[_Node]] = {}  # ready servers by shard, found when first asked for
-        self.sound = 0  # servers in use, counted once a period
         self.queries, self.by_number = dict[int, _Query](), dict[int, _Query]()
         self.attempts: dict[tuple[int, int], _Attempt] = {}  # all that are out, called off or not
         self.judged: deque[_Attempt] = deque(maxlen=2 * FEW)  # those answered, lost or late
-        self.idle_most, self.idle_until, self.new_fail = inf, -inf, 0.0  # idle time trusted, till; new fail
+        self.idle_most, self.idle_until, self.stuck = inf, -inf, 0.0  # idle trusted, until; new ones stuck
         self.lost: dict[int, float] = {}  # by zone: share of parts lost or late, a running mean
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
@@ -105,7 +104,7 @@
         self.answered, self.spread = list[float](), dict[tuple[int, int], float]()  # of answers alone
         self.seen: dict[str, deque[float]] = {}  # times of queries, taken, sends, extra, tenants
         self.credit, self.alarm_at, self.killing_at = 1.0, -inf, -inf  # copies left; next look; last killing
-        self.ask_at, self.unheard = -inf, 0  # next call to the list (inf: subscribed); calls failed in a row
+        self.ask_at, self.unheard, self.sound = -inf, 0, 0  # next call to the list, failed in a row; servers
 
     def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
         self.now, self.acts, self.began = now_ms, [], min(self.began, now_ms)
@@ -116,7 +115,7 @@
                 case api.Query():
                     self._arrived(e)
                 case api.MoreParts(number) if number in self.by_number:
-                    self._second_step(e)
+                    self._second_step(self.by_number[number], e.parts)
                 case api.View():
                     self._view(e)
                 case api.Gone(rid) if rid in self.queries:
@@ -230,10 +229,13 @@
         last answers or their absence, or in a zone out of reach, counts as more; else it looks idle."""
         turns = Counter([*node.out.values(), self.now])
         slow = min(self._time(node) / self.usual - 1.0 if self.usual else 0.0, SLOW_CALLS)
-        slow += self.new_fail * SLOW_CALLS if self._idle(node) == inf else 0.0  # it needs a new connection
-        slow += SLOW_CALLS * (self.lost.get(node.zone, 0.0) - min(self.lost.values(), default=0.0) > CUT_OFF)
+        slow += self.stuck * SLOW_CALLS if self._idle(node) == inf else 0.0  # it needs a new connection
+        slow += SLOW_CALLS * self._cut(node)
         return sum(-(-n // self.set.parts_per_call) for n in turns.values()) + round(slow)
 
+    def _cut(self, node: _Node) -> bool:  # its zone loses far more than another
+        return self.lost.get(node.zone, 0.0) - min(self.lost.values(), default=0.0) > CUT_OFF
+
     def _warmth(self, node: _Node) -> float:
         age = 0.0 if node.died_at < inf else max(self.now - node.cold_since, 0.0)  # dead: it may start unseen
         return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * age / max(self.set.cold_ms, 1.0))
@@ -299,10 +301,9 @@
         lately = (node.time - self.usual) * 2 ** -((self.now - node.time_at) / fade_ms)
         return max(self.usual + lately, self.now - min(node.out.values(), default=self.now))
 
-    def _second_step(self, e: api.MoreParts) -> None:
-        query = self.by_number[e.number]
+    def _second_step(self, query: _Query, parts: tuple[api.Part, ...]) -> None:
         query.step, query.got, query.landed, query.held, query.parts = 2, 0.0, 0, [], []
-        self._take_parts(query, e.parts)
+        self._take_parts(query, parts)
         for part in query.parts:
             self._try(part)
 
@@ -381,7 +382,7 @@
         took, ok = self.now - sent, e.outcome == Outcome.OK
         failed = e.outcome == Outcome.CONNECT_FAILED
         slow_link = failed and e.elapsed_ms > self.set.connect_timeout_ms - BEGUN_MS  # no proof of a death
-        self.new_fail += (slow_link - self.new_fail) * MEAN_WEIGHT * (attempt.idle == inf)
+        self.stuck += (slow_link - self.stuck) * MEAN_WEIGHT * (attempt.idle == inf and not self._cut(node))
         if ok or e.outcome == Outcome.ERROR:
             node.link_at = self.now
             self._judge(attempt, lost=False)
@@ -427,7 +428,7 @@
         return idle if idle < self.set.conn_idle_ms else inf
 
     def _distrusts(self, idle: float) -> bool:
-        return self.idle_most <= idle < inf and self.now < self.idle_until and self.new_fail < LOST_SHARE
+        return self.idle_most <= idle < inf and self.now < self.idle_until and self.stuck < LOST_SHARE
 
     def _judge(self, attempt: _Attempt, lost: bool) -> None:
         """Guards against connections dropped unseen while idle (reset, or no answer). Acts for half a minute
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -575,3 +575,23 @@
         old, new = line(100 + i, 0, api.NodeState.GONE), line(101 + i, 0)
         b.do(api.View(api.ViewKind.DELTA, (new, old)))
     assert len(b.agg.nodes) <= 6
+
+
+def test_a_zone_out_of_reach_does_not_keep_dropped_links_open_elsewhere():
+    # New connections to a cut zone failed, which looked like slow handshakes: no idle link was shut any more.
+    def stuck(cut):
+        lines = [api.NodeLine(10 + i, i % 4, api.NodeState.READY, 0.0, i // 4, 0, 1.0) for i in range(8)]
+        b = Bench(lines=lines, extra_free=1000.0)
+        b.learn()
+        b.agg.lost = {0: 0.9, 1: 0.1} if cut else {}
+        b.wait(16_000.0)
+        for _ in range(30):
+            node, part = b.agg.nodes[10 + b.agg.rng.randrange(4)], b.next_id
+            b.agg.holders = {c: [node] for c in range(4)}
+            b.query(ALL, parts=1)
+            b.wait(250.0)
+            b.finish(part + 1, Outcome.CONNECT_FAILED)
+            b.do(api.Gone(part))
+        return b.agg.stuck
+
+    assert stuck(cut=True) < 0.1 < 0.2 < stuck(cut=False)
