A late part on a distrusted link is called off only where it may be sent anew

An unsafe part may have run and cannot be repeated: called off, it was lost for certain, and its query waited for nothing. Found by reading; the old code fails the new test.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -462,7 +462,7 @@
                     else:
                         for n, node in list(part.out.items()):
                             self._judge(self.attempts[part.id, n], lost=True)  # for now
-                            if self._distrusts(self.attempts[part.id, n].idle):
+                            if self._may_retry(part) and self._distrusts(self.attempts[part.id, n].idle):
                                 self.acts.extend([api.Cancel(part.id, n), api.CloseIdle(node.id)])
                                 node.link_at = -inf
                                 del part.out[n]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import replace
 
-from conftest import ALL, ANY, FLOOR, KEY, SETTINGS, Bench, line, of
+from conftest import ALL, ANY, FLOOR, KEY, ONCE, SETTINGS, Bench, line, of
 
 from badgerbend import api
 from badgerbend.api import Outcome
@@ -595,3 +595,13 @@
         return b.agg.stuck
 
     assert stuck(cut=True) < 0.1 < 0.2 < stuck(cut=False)
+
+
+def test_an_unsafe_part_is_not_called_off_on_a_distrusted_connection():
+    # It may have run, so it cannot be sent anew: called off, it was lost for certain.
+    b = Bench(lines=EIGHT, extra_free=1000.0)
+    b.learn()
+    b.wait(2000.0)
+    b.query(ONCE, parts=8, left=2000.0)
+    acts = b.wait(900.0)
+    assert b.agg.idle_until > b.now and not of(api.Cancel, acts)
