--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -246,9 +246,8 @@
         warmth = self._warmth(node)
         if warmth >= 1.0:
             return True
-        pace = self._rate("sends") / max(1, self.sound) * self.set.overload_factor * COLD_PACE
-        saved = node.tokens + pace * warmth * (self.now - node.tokens_at)
-        node.tokens, node.tokens_at = min(1.0, saved), self.now
+        pace = warmth * self._rate("sends") / max(1, self.sound) * self.set.overload_factor * COLD_PACE
+        node.tokens, node.tokens_at = min(1.0, node.tokens + pace * (self.now - node.tokens_at)), self.now
         return node.tokens >= 1.0
 
     def _pick(self, part: _Part) -> _Node | None:
@@ -349,8 +348,8 @@
         return stuck or spent > 1.0 - min(cls.floor, cls.need if query.step == 1 else 1.0) + ROUNDING
 
     def _try(self, part: _Part) -> bool:
-        """Sends a part, once more if need be. A second copy costs `credit`, paid back if it is first to
-        answer: many where servers lose parts, few where all are slow from load, which copies only add to."""
+        """Sends a part, once more if need be. A second copy costs `credit`, paid back if first to answer: few
+        where all are slow from load. What can't be repeated goes on no link that idled for a second."""
         if self._kills(part.query) or self.now >= part.query.end_at:
             return False
         if part.tries and part.query.held and self._try(part.query.held.pop()):
@@ -364,7 +363,8 @@
         self._note("sends", *(["extra"] if part.tries else []))
         node.tokens -= self._warmth(node) < 1.0
         idle = self._idle(node)
-        if self._distrusts(idle):
+        once = part.query.cls.effect == "unsafe" and PERIOD_MS < idle < inf and self.stuck < LOST_SHARE
+        if once or self._distrusts(idle):
             self.acts.append(api.CloseIdle(node.id))
             idle = inf
         self.attempts[part.id, part.tries] = _Attempt(node, self.now, idle)
