Tiers of preference by site, a limit on spill, and a way back by evidence

Nothing told one site's servers from another's: the loss of a site sent all its work to the other, and its return sent it back at once.

sites/ decides, pure: evidence from outcomes, times and reported load; what share of a shard's holders is sound; whether a site is in, out, on trial or coming back, with holds that double and fade; a limit on spill that holds for the sum of brokers that share nothing; admission by worth while there is not room for all. The module asks it through api.Sites where settings name sites: which site, never which replica. siting.py gives it time, connections opened ahead, /sites, and drain and return by hand.

--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import Protocol
 
 
 class Outcome(IntEnum):
@@ -277,3 +279,33 @@
 Action = (
     Send | Cancel | Answer | Refuse | Fail | SetAlarm | Probe | CloseIdle | Tell | Follow | ReadList | Log
 )
+
+
+# -- beside the module
+
+
+class Sites(Protocol):
+    """Preference among sites, and limits on what goes to each. Without one all servers stand alike.
+
+    It is called within a step, in the order of the decisions, and is as pure as the module.
+    """
+
+    def hear(self, now_ms: float, events: Sequence[Event]) -> None:
+        """All that happens, before the module decides on it."""
+
+    def takes(self, query: Query, over_quota: bool, fewest: int) -> bool:
+        """Whether a query is let in; fewest: so many of its parts make a whole answer."""
+
+    def spares(self) -> bool:
+        """Whether parts beyond the fewest may be sent now."""
+
+    def rank(self, shard: int) -> int:
+        """How near the nearest site is that a part of this shard may go to now: greater is nearer, 0 for none."""
+
+    def among(self, shard: int, nodes: Sequence[int], safe: bool) -> Sequence[int]:
+        """Those of a shard's servers, all admitted, that a part may go to now; none: it must wait.
+
+        safe: it may be lost, or run twice, without harm. What was returned last is what `sent` is told of.
+        """
+
+    def sent(self, part: int, attempt: int, node: int) -> None: ...
--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -24,6 +24,7 @@
 from badgerbend.peering.service import Learning, OwnAnswers
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.loop import LoopSchedule
+from badgerbend.siting import Siting
 
 SWEEP_S = 0.5
 TEXT = b"text/plain; version=0.0.4; charset=utf-8"
@@ -43,11 +44,14 @@
 
 
 class Broker:
-    """Built and used on one running loop. `decisions` is the module; baselines put another in its place."""
+    """Built and used on one running loop. Baselines put others in the place of `decisions` and `preference`.
+
+    folder: what files named in the settings are relative to. Raises ValueError or OSError for a sites' key.
+    """
 
     decisions = Aggregator
 
-    def __init__(self, settings: Settings, graph: Subgraph) -> None:
+    def __init__(self, settings: Settings, graph: Subgraph, folder: Path = Path()) -> None:  # noqa: B008
         loop = asyncio.get_running_loop()
         self.settings, self.loop = settings, loop
         self.log = get(part="broker")
@@ -68,7 +72,13 @@
             settings.seed + settings.identity.index, f"badgerbend/{settings.identity.index}",
         )  # fmt: skip
         module = module_settings(settings)
-        decisions = self.decisions(module, settings.seed * 1_000_003 + settings.identity.index)
+        self.siting: Siting | None = None
+        if settings.sites is not None:
+            self.siting = Siting(
+                settings, settings.sites, folder, self._pool, self.schedule.now_ms, self.metrics
+            )
+        preference = self.preference()
+        decisions = self.decisions(module, settings.seed * 1_000_003 + settings.identity.index, preference)
         answers = OwnAnswers(self.metrics)
         self.driver = Driver(module, decisions, self.transport, self.watch, self.schedule, answers)
         self.learning: Learning | None = None
@@ -88,12 +98,18 @@
         self._sweeper: asyncio.TimerHandle | None = None
         self._last_lines: dict[int, object] = {}
 
+    def preference(self) -> api.Sites | None:
+        """What the module prefers among sites by."""
+        return self.siting.tiers if self.siting is not None else None
+
     async def start(self) -> int:
         """Listens and begins to follow the list; returns the port. Raises OSError where it cannot listen."""
         self.port = await self.server.start(self.settings.listen.host, self.settings.listen.port)
         if self.learning is not None:
             await self.learning.start()
         self.watch.start()
+        if self.siting is not None:
+            self.siting.start()
         # a first event, so that the module asks for the list where that is its part, and for its first alarm
         self.driver.view(api.View(api.ViewKind.CACHED, ()))
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -105,6 +121,8 @@
         began = self.loop.time()
         cut = await self.server.close(self.settings.listen.stop_timeout_ms / 1000.0)
         self.watch.close()
+        if self.siting is not None:
+            self.siting.close()
         if self.learning is not None:
             await self.learning.close()
         for pool in (*self.pools.values(), *self.retired):
@@ -124,6 +142,8 @@
         elif path == b"/peers":
             status = self.learning.status() if self.learning is not None else {"members": []}
             exchange.respond(200, msgspec.json.encode(status), b"application/json")
+        elif path.startswith(b"/sites") and self.siting is not None:
+            self.siting.handle(exchange)
         elif path == b"/ready":
             ready = self.watch.heard_at is not None
             exchange.respond(200 if ready else 503, b"ready\n" if ready else b"no list yet\n", b"text/plain")
@@ -171,6 +191,8 @@
         m.connections.set(len(self.server.connections))
         m.handshakes.set(sum(p.opened for p in (*self.pools.values(), *self.retired)))
         m.called_off.set(self.transport.called_off)
+        if self.siting is not None:
+            self.siting.gauges()
         if self.learning is not None:
             m.pulls.set(self.learning.pulls)
             m.learned.set(self.learning.learned)
--- a/badgerbend/cli.py
+++ b/badgerbend/cli.py
@@ -63,14 +63,14 @@
     await told.wait()
 
 
-async def serve(kind: type[Broker], settings: Settings, graph: Subgraph) -> int:
+async def serve(kind: type[Broker], settings: Settings, graph: Subgraph, folder: Path) -> int:
     """Runs one broker until told to end; the status to exit with."""
     log.configure(settings.log)
-    broker = kind(settings, graph)
     try:
+        broker = kind(settings, graph, folder)
         await broker.start()
-    except (OSError, BadKey) as err:
-        print(f"badgerbend: cannot listen: {err}", file=sys.stderr)
+    except (OSError, ValueError, BadKey) as err:
+        print(f"badgerbend: cannot start: {err}", file=sys.stderr)
         return CANNOT_START
     settle_memory()
     await until_told()
@@ -82,7 +82,7 @@
 def run(config: Config) -> None:
     """Runs a broker until it is interrupted or told to end."""
     settings, graph = _read(config)
-    _run(serve(Broker, settings, graph))
+    _run(serve(Broker, settings, graph, config.parent))
 
 
 @app.command()
@@ -187,6 +187,64 @@
     raise AssertionError
 
 
+sites = typer.Typer(no_args_is_help=True, help="Sites: what a broker holds of them, and work moved by hand.")
+app.add_typer(sites, name="site")
+Ports = Annotated[list[int], typer.Option("--port", help="A broker's port; give it for each broker.")]
+Key = Annotated[Path, typer.Option(help="The file with the sites' key.")]
+
+
+@sites.command("status")
+def site_status(port: Ports = [8080], host: str = "127.0.0.1") -> None:  # noqa: B006
+    """Shows each site as brokers see it."""
+    _sites([(p, "GET", "/sites", None) for p in port], host)
+
+
+@sites.command("drain")
+def site_drain(name: str, key: Key, port: Ports = [8080], host: str = "127.0.0.1") -> None:  # noqa: B006
+    """Moves a site's work to the others, step by step and as far as it fits; nothing is refused for it."""
+    _sites([(p, "POST", f"/sites/{name}/drain", key) for p in port], host)
+
+
+@sites.command("return")
+def site_return(name: str, key: Key, port: Ports = [8080], host: str = "127.0.0.1") -> None:  # noqa: B006
+    """Ends a drain: the work comes back by steps."""
+    _sites([(p, "POST", f"/sites/{name}/return", key) for p in port], host)
+
+
+def _sites(asks: list[tuple[int, str, str, Path | None]], host: str) -> None:
+    from badgerbend.standin.client import fetch
+
+    failed = 0
+    for port, method, path, key in asks:
+        try:
+            token = key.read_text(encoding="utf-8").strip() if key is not None else None
+            _show_sites(port, uvloop.run(fetch(port, path, host, method, token)))
+        except (ConnectionError, OSError, UnicodeDecodeError) as err:
+            print(f"badgerbend: {host}:{port}: {err}", file=sys.stderr)
+            failed += 1
+    raise typer.Exit(CANNOT_START if failed else 0)
+
+
+def _show_sites(port: int, found: dict[str, Any]) -> None:
+    keeps = found["keeps"]
+    table = Table(
+        title=f"broker at {port}, own site {found['own']}: demand {found['demand_per_s']} parts/s, "
+        f"keeps {keeps['by_load']:.0%} by load, {keeps['by_time']:.0%} by time"
+    )
+    shown = ("name", "tier", "state", "share", "turns", "success", "used", "room_per_s", "sent_per_s",
+             "spilled_per_s", "allowed_per_s", "failing")  # fmt: skip
+    for heading in shown:
+        table.add_column(heading.replace("_per_s", "/s"))
+    for site in found["sites"]:
+        state = f"{site['state']}, drained" if site["drained"] else site["state"]
+        row = site | {"state": state}
+        table.add_row(*("-" if row[h] is None else str(row[h]) for h in shown))
+    console = Console()
+    console.print(table)
+    for row in found["refusals"]:
+        console.print(f"refused: {row['count']} of class {row['class']}, tenant {row['tenant']}: {row['reason']}")
+
+
 @app.command()
 def demo(
     hold: Annotated[bool, typer.Option(help="Leave broker and fleet up until interrupted.")] = False,
@@ -218,8 +276,9 @@
     file: Annotated[Path, typer.Argument(help="The day's file.")],
     report: Annotated[Path | None, typer.Option(help="Write the findings as JSON.")] = None,
     keep: Annotated[Path | None, typer.Option(help="Keep the records of the sockets in this folder.")] = None,
-    redundancy: Annotated[
-        str, typer.Option(help="Who sets r: module, or least or all as baselines.")
+    policy: Annotated[
+        str,
+        typer.Option(help="module; baselines: least, all (of r), anywhere, unlimited, priority (of sites)."),
     ] = "module",
 ) -> None:
     """Plays a scripted day with brokers as processes of their own; status 1 if a rule was broken."""
@@ -229,7 +288,7 @@
         plan = load_day(file)
     except SettingsError as err:
         _stop(str(err), BAD_SETTINGS)
-    result = uvloop.run(play(plan, file, keep, redundancy))
+    result = uvloop.run(play(plan, file, keep, policy))
     console = Console(width=110)
     table = Table(title=f"{file}: {plan.seconds:g} s, {plan.brokers} brokers, {plan.servers} servers (loopback)")
     for heading in ("rule", "checked", "broken", "first case"):
--- a/badgerbend/config/settings.py
+++ b/badgerbend/config/settings.py
@@ -68,7 +68,7 @@
     mode: Literal["push", "ask"] = "push"
     wait_ms: Positive = 30_000.0
     must_ask_ms: Positive = 10_000.0
-    max_bytes: Count = 1_000_000
+    max_bytes: Annotated[int, msgspec.Meta(ge=1, le=1 << 30)] = 16_777_216  # thousands of servers
 
 
 class Servers(msgspec.Struct, frozen=True):
@@ -202,6 +202,74 @@
     every_ms: Positive = 2000.0
 
 
+class Site(msgspec.Struct, frozen=True):
+    """Machines that fail together. zones: of its servers, as the list states them; brokers: how many stand there.
+
+    near: sites that come before the others when this one's work goes elsewhere, both ways.
+    """
+
+    name: Name
+    zones: tuple[CountOrNone, ...]
+    brokers: CountOrNone
+    near: tuple[Name, ...] = ()
+
+
+class Sites(msgspec.Struct, frozen=True):
+    """Preference among sites. Without this all servers stand alike.
+
+    spill: at most this share of a site's spare room is taken by work of other sites. server_parts_per_s: what a warm
+    server of size 1 can serve. fill: a site's servers are filled to this before its work goes elsewhere. watch: the
+    share of parts that goes to other sites even so, by which a broker knows their state. util: the name, among those
+    reported by servers, of the share of a server's capacity in use.
+
+    out_below: a site that brings fewer of its parts to a good end is out. hold_ms: it stays so at least this long,
+    twice as long with each turn, up to hold_most_ms; what is held against it halves in fade_ms. trials: so many good
+    answers one after another let it return. first: the share of its work it then gets; step_ms: how often that
+    grows. connections_per_s: the pace at which connections to a returning site are opened ahead. key: a file; who
+    sends its content may drain and return sites.
+    """
+
+    site: tuple[Site, ...]
+    server_parts_per_s: Positive
+    spill: Share = 0.8
+    fill: Share = 0.85
+    watch: ShareOrNone = 0.03
+    util: Name = "util"
+    out_below: Share = 0.5
+    hold_ms: Positive = 1500.0
+    hold_most_ms: Positive = 60_000.0
+    fade_ms: Positive = 30_000.0
+    trials: Count = 8
+    first: Share = 0.05
+    step_ms: Positive = 500.0
+    connections_per_s: Positive = 20.0
+    key: Name | None = None
+
+    def __post_init__(self) -> None:
+        names = [s.name for s in self.site]
+        zones = [z for s in self.site for z in s.zones]
+        if len(self.site) < 2:
+            raise ValueError("a preference needs two sites or more")
+        for name in names:
+            if names.count(name) > 1:
+                raise ValueError(f"two sites are named {name}")
+        for zone in zones:
+            if zones.count(zone) > 1:
+                raise ValueError(f"zone {zone} stands in two sites")
+        for site in self.site:
+            if not site.zones:
+                raise ValueError(f"site {site.name} has no zones")
+            for name in site.near:
+                if name not in names or name == site.name:
+                    raise ValueError(f"site {site.name} is near {name}, which is no other site")
+        if self.hold_most_ms < self.hold_ms:
+            raise ValueError("hold-most-ms must not be less than hold-ms")
+
+    def home(self, zone: int) -> Site | None:
+        """The site of a zone."""
+        return next((s for s in self.site if zone in s.zones), None)
+
+
 class Log(msgspec.Struct, frozen=True):
     form: Literal["json", "console"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -224,6 +292,7 @@
     log: Log = Log()
     peers: Peers | None = None
     snapshot: Snapshot | None = None
+    sites: Sites | None = None
     max_open: Count = 20_000
     over_share_worth: NotNegative = 0.1
     seed: CountOrNone = 1
@@ -247,6 +316,14 @@
             if field.detail and not known[field.class_].second_step:
                 raise ValueError(f"field {field.name} has a detail, but class {field.class_} no second-step")
 
+        if self.sites is not None:
+            home = self.sites.home(self.identity.zone)
+            stand = sum(s.brokers for s in self.sites.site)
+            if home is None or not home.brokers:
+                raise ValueError(f"identity's zone {self.identity.zone} is in no site that has brokers")
+            if stand != self.identity.count:
+                raise ValueError(f"the sites have {stand} brokers together, identity counts {self.identity.count}")
+
     def class_index(self, name: str) -> int:
         return next(i for i, c in enumerate(self.class_) if c.name == name)
 
--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -89,8 +89,8 @@
 
 
 class Aggregator:
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.set, self.rng = settings, random.Random(seed)
+    def __init__(self, settings: api.Settings, seed: int, sites: api.Sites | None = None) -> None:
+        self.set, self.rng, self.sites = settings, random.Random(seed), sites
         self.now, self.began, self.acts = 0.0, inf, list[api.Action]()
         self.nodes, self.parts = dict[int, _Node](), dict[int, _Part]()
         self.holders: dict[int, list[_Node]] = {}  # ready servers by shard, found when first asked for
@@ -111,6 +111,8 @@
 
     def step(self, now_ms: float, events: list[api.Event]) -> list[api.Action]:
         self.now, self.acts, self.began = now_ms, [], min(self.began, now_ms)
+        if self.sites:
+            self.sites.hear(now_ms, events)
         for e in events:
             match e:
                 case api.Completed() if (e.part, e.attempt) in self.attempts:
@@ -279,12 +281,21 @@
     def _pick(self, part: _Part) -> _Node | None:
         busy = [a.node for a in part.out.values()]
         pool = [n for n in self._holders(part.shard) if n not in busy and self._admits(n)]
-        pool = [n for n in pool if n not in part.used] or pool
+        fresh = [n for n in pool if n not in part.used] or pool
+        pool = self._nearest(part, fresh) or self._nearest(part, pool)
         calls = [self._calls(n) for n in pool]
         ties = [n for n, load in zip(pool, calls, strict=True) if load == min(calls)]
         riding = [n for n in ties if self.set.parts_per_call > 1 and self.now in n.out.values()]
         return self.rng.choice(riding or ties) if ties else None
 
+    def _nearest(self, part: _Part, pool: list[_Node]) -> list[_Node]:
+        """Those at the site that a part goes to; which of them is decided here. The sound if any is."""
+        if not self.sites:
+            return pool
+        ids = [n.id for n in pool if n.died_at == inf] or [n.id for n in pool]
+        chosen = set(self.sites.among(part.shard, ids, part.query.cls.effect == "safe")) if ids else ()
+        return [n for n in pool if n.id in chosen]
+
     # -- Admission. On call: what is turned away, and only while our parts wait for servers.
     def _arrived(self, e: api.Query) -> None:
         cls = self.set.classes[e.cls]
@@ -292,18 +303,23 @@
         self._note("queries", "taken")
         self.queries[query.id] = self.by_number[query.number] = query
         self._take_parts(query, e.parts)
-        most = REFUSE_AT * cls.aim_ms
+        most, over = REFUSE_AT * cls.aim_ms, False
         if e.tenant < len(self.set.tenants):
             self._note(f"tenant {e.tenant}")
             quota = self.set.tenants[e.tenant].quota_per_s / self.set.brokers / 1000
-            if self._rate(f"tenant {e.tenant}") > quota:
-                most = REFUSE_OVER_QUOTA_AT * cls.aim_ms
-        if not query.parts or self._foreseen(query) >= min(most, query.end_at - self.now):
+            over = self._rate(f"tenant {e.tenant}") > quota
+            most = REFUSE_OVER_QUOTA_AT * cls.aim_ms if over else most
+        fewest = query.fewest(cls.need)
+        barred = self.sites and not self.sites.takes(e, over, fewest)
+        if not query.parts or barred or self._foreseen(query) >= min(most, query.end_at - self.now):
             self._end(query, self._give_up(query))
             return
-        query.wanted = self._redundancy(query.fewest(cls.need), len(query.parts))
+        query.wanted = self._redundancy(fewest, len(query.parts))
         query.scout = e.is_retry or self.now - self.killing_at < DEATHS_MS
         query.held = self.rng.sample(query.parts, len(query.parts))
+        if sites := self.sites:  # the nearest first; and spares only where they go to nobody's cost
+            query.held.sort(key=lambda part: sites.rank(part.shard))
+            query.wanted = query.wanted if sites.spares() else fewest
         for _ in range(1 if query.scout else query.wanted):
             self._try(query.held.pop())
 
@@ -398,6 +414,8 @@
         node.link_at = self.now
         node.out[part.id, part.tries] = part.maybe_ran[part.tries] = self.now
         part.used.append(node)
+        if self.sites:
+            self.sites.sent(part.id, part.tries, node.id)
         part.tries += 1
         self.acts.append(api.Send(part.id, node.id, max(part.query.end_at - self.now, 1.0)))
         return True
--- a/badgerbend/metrics.py
+++ b/badgerbend/metrics.py
@@ -39,6 +39,11 @@
         self.pulls = Gauge("badgerbend_knowledge_pulls", "Times that peers were asked for what they know", registry=r)
         self.learned = Gauge("badgerbend_knowledge_servers_learned", "Servers' times taken from others", registry=r)
         self.datagrams = Gauge("badgerbend_membership_datagrams", "Datagrams so far", ["which"], registry=r)
+        self.sites = Gauge("badgerbend_site", "What is held of a site, see docs/sites.md", ["site", "what"], registry=r)
+        self.site_refusals = Gauge(
+            "badgerbend_site_refusals", "Queries refused so far for want of a site", ["reason", "class", "tenant"],
+            registry=r,
+        )  # fmt: skip
         self._ended = {
             (c, how): self.queries.labels(c, how)
             for c in classes
--- a/badgerbend/net/client.py
+++ b/badgerbend/net/client.py
@@ -90,7 +90,20 @@
         call.opening.add_done_callback(self._openings.discard)
         return call
 
-    async def _connect(self, call: Call) -> None:
+    def open_ahead(self, done: Callable[[bool], None]) -> None:
+        """Opens a connection before it is needed, unless one is idle; `done` tells whether it came about."""
+        if not self.idle and not self.closed:
+            opening = asyncio.get_running_loop().create_task(self._open_ahead(done))
+            self._openings.add(opening)
+            opening.add_done_callback(self._openings.discard)
+
+    async def _open_ahead(self, done: Callable[[bool], None]) -> None:
+        connection = await self._connection()
+        if connection is not None:
+            connection.free()
+        done(connection is not None)
+
+    async def _connection(self) -> _Connection | None:
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
@@ -99,9 +112,14 @@
                     lambda: _Connection(self, loop), self.host, self.port
                 )
         except (OSError, TimeoutError):
+            return None
+        return connection
+
+    async def _connect(self, call: Call) -> None:
+        connection = await self._connection()
+        if connection is None:
             call.finish(Reply(End.CONNECT_FAILED, 0, {}, b""))
-            return
-        if call.done or self.closed:
+        elif call.done or self.closed:
             connection.free()
         else:
             connection.start(call)
--- a/badgerbend/standin/troubles.py
+++ b/badgerbend/standin/troubles.py
@@ -14,19 +14,20 @@
 
 import msgspec
 
-from badgerbend.config.settings import Name, NotNegative, Positive, Share
+from badgerbend.config.settings import CountOrNone, Name, NotNegative, Positive, Share
 from badgerbend.standin.registry import Registry
 from badgerbend.standin.traffic import Asker
 
 
 class Trouble(msgspec.Struct, frozen=True):
-    """Times in seconds. part: share of the servers; size and how as the kind has them."""
+    """Times in seconds. part: share of the servers; zone: of a site's; size and how as the kind has them."""
 
     kind: Name
     at: NotNegative
     for_: Positive = 5.0
     part: Share = 0.1
     size: Positive = 1.0
+    zone: CountOrNone = 0
     how: Literal["", "silence", "reset", "loss", "refuse", "slow", "crash", "hang"] = ""
 
 
@@ -256,6 +257,67 @@
     await scene.restart_broker(scene.rng.randrange(len(scene.broker_zones)), t.for_)
 
 
+def _site(scene: Scene, t: Trouble) -> list[str]:
+    """A share of the servers of a zone, all by default of the kinds that call it."""
+    held = sorted(name for name, zone in scene.zones.items() if zone == t.zone)
+    return held if t.part >= 1.0 else sorted(scene.rng.sample(held, max(1, round(t.part * len(held)))))
+
+
+async def _lose(scene: Scene, names: list[str], how: str) -> None:
+    """crash: the list says so half a second later. silence: it goes on to call them ready. hang: they swallow all."""
+    if how == "hang":
+        scene.tell("set", names, faults={"silent": True})
+        return
+    scene.tell("crash", names)
+    if how != "silence":
+        await asyncio.sleep(0.5)
+        for name in names:
+            listed(scene, name, "gone")
+
+
+async def site_lost(scene: Scene, t: Trouble) -> None:
+    """A share of a site's servers is lost at once, and comes back at once, cold."""
+    names = _site(scene, t)
+    await _lose(scene, names, t.how)
+    await asyncio.sleep(t.for_)
+    await _come_back(scene, names)
+
+
+async def site_flaps(scene: Scene, t: Trouble) -> None:
+    """A site goes out and in, each time for 2 to 12 seconds; at the end it is in."""
+    names, end = _site(scene, t), time.monotonic() + t.for_
+    while time.monotonic() < end:
+        await _lose(scene, names, t.how)
+        await asyncio.sleep(scene.rng.uniform(2.0, 12.0))
+        await _come_back(scene, names)
+        await asyncio.sleep(scene.rng.uniform(2.0, 12.0))
+
+
+async def site_slow(scene: Scene, t: Trouble) -> None:
+    names = _site(scene, t)
+    scene.tell("slower", names, by=t.size)
+    await asyncio.sleep(t.for_)
+    scene.tell("slower", names, by=1.0)
+
+
+async def site_cut(scene: Scene, t: Trouble) -> None:
+    """A site is out of reach for the first broker alone, which may be one of its own."""
+    names = _site(scene, t)
+    scene.tell("set", names, faults={"bad_for": [0], "bad_how": t.how or "loss", "bad_ms": t.size})
+    await asyncio.sleep(t.for_)
+    scene.tell("set", names, faults={"bad_for": []})
+
+
+async def rising(scene: Scene, t: Trouble) -> None:
+    """Traffic grows to `size` times in ten steps, stays, and falls back at once."""
+    before = scene.asker.rate
+    for i in range(1, 11):
+        scene.asker.rate = before * (1.0 + (t.size - 1.0) * i / 10)
+        await asyncio.sleep(t.for_ / 20)
+    await asyncio.sleep(t.for_ / 2)
+    scene.asker.rate = before
+
+
 KINDS: dict[str, Play] = {
     "crash": crash,
     "vanish": vanish,
@@ -277,6 +339,11 @@
     "hot-key": hot_key,
     "heavy-tail": heavy_tail,
     "poison": poison,
+    "site-lost": site_lost,
+    "site-flaps": site_flaps,
+    "site-slow": site_slow,
+    "site-cut": site_cut,
+    "rising": rising,
     "list-late": list_late,
     "list-gone": list_gone,
     "list-lies": list_lies,
