Load and pace of spill over one window; an uneven split of it evens out sooner

On examples/sites/lost.conf at a load where one site cannot carry both, spill dipped to two thirds of its limit for ten seconds after the loss: the load was a mean over reports, which jumped with the work, the pace one over time, which came later. One of two brokers got 23 refusals and the other 715: near the limit an uneven split faded with 7 s; who is above the even share now yields twice as fast. A server that failed and is not asked any more is held against its site for 5 s only.

--- a/badgerbend/sites/evidence.py
+++ b/badgerbend/sites/evidence.py
@@ -8,7 +8,8 @@
 from badgerbend.api import Outcome
 
 HALF_MS = 1000.0  # evidence counts half after this: some hundred answers at any pace worth a preference
-LOAD_HALF_MS = 2000.0  # load and own pace are read over one and the same window; see `limit`
+LOAD_HALF_MS = 1000.0  # load and own pace are read over one and the same window; see `limit`
+FORGET_MS = 5000.0  # a server that failed counts as failing so long, unless it answers
 FEW = 4.0  # less than so many outcomes say nothing of a site
 MISSING = 10.0  # an attempt out for so many usual times is as good as lost
 MISSING_LEAST_MS = 150.0  # but no sooner: a pause of a server is no loss of a site
@@ -54,10 +55,12 @@
     bad: Fading = field(default_factory=lambda: Fading(HALF_MS))
     times: Fading = field(default_factory=lambda: Fading(HALF_MS))
     load: Fading = field(default_factory=lambda: Fading(LOAD_HALF_MS))
-    loads: Fading = field(default_factory=lambda: Fading(LOAD_HALF_MS))
+    looks: Fading = field(default_factory=lambda: Fading(LOAD_HALF_MS))
+    loads: list[float] = field(default_factory=list)  # reported since the last look
+    last_load: float | None = None
     sends: Fading = field(default_factory=lambda: Fading(LOAD_HALF_MS))
     out: dict[tuple[int, int], Out] = field(default_factory=dict)
-    failing: set[int] = field(default_factory=set)  # servers whose last word was none
+    failing: dict[int, float] = field(default_factory=dict)  # servers whose last end was bad, and when
     in_a_row: int = 0  # good ends since the last bad one
     usual_ms: float = 0.0  # slow mean of what a part takes there
 
@@ -75,14 +78,14 @@
         if outcome == Outcome.OK:
             self._good(now_ms, out, took)
         elif outcome == Outcome.FULL:  # alive, and has no room
-            self._see(now_ms, 1.0)
+            self.loads.append(1.0)
         elif outcome in (Outcome.CANCELLED, Outcome.MOOT):
             if outcome == Outcome.CANCELLED and took > missing_ms and not out.missed:
                 self._bad(now_ms, out.node)
         elif not out.missed:
             self._bad(now_ms, out.node)
         if load is not None and outcome == Outcome.OK:
-            self._see(now_ms, min(max(load, 0.0), 1.0))
+            self.loads.append(min(max(load, 0.0), 1.0))
 
     def _good(self, now_ms: float, out: Out, took: float) -> None:
         if out.missed:  # late, but there
@@ -90,17 +93,28 @@
         self.good.add(now_ms, 1.0)
         self.times.add(now_ms, took)
         self.usual_ms += (took - self.usual_ms) * (0.02 if self.usual_ms else 1.0)
-        self.failing.discard(out.node)
+        self.failing.pop(out.node, None)
         self.in_a_row += 1
 
     def _bad(self, now_ms: float, node: int) -> None:
         self.bad.add(now_ms, 1.0)
-        self.failing.add(node)
+        self.failing[node] = now_ms
         self.in_a_row = 0
 
-    def _see(self, now_ms: float, load: float) -> None:
-        self.load.add(now_ms, load)
-        self.loads.add(now_ms, 1.0)
+    def look(self, now_ms: float) -> None:
+        """Closes a stretch of time of equal length: each counts alike in the load, however many reports came in it.
+
+        By reports alone a jump of work would show in the load at once and in the pace only later, and the limit,
+        which weighs one against the other, would swing.
+        """
+        for node in [n for n, at in self.failing.items() if now_ms - at > FORGET_MS]:
+            del self.failing[node]  # it is not asked any more: nothing would clear it
+        if self.loads:
+            self.last_load = sum(self.loads) / len(self.loads)
+            self.loads.clear()
+        if self.last_load is not None:
+            self.load.add(now_ms, self.last_load)
+            self.looks.add(now_ms, 1.0)
 
     def refused_connection(self, now_ms: float, node: int) -> None:
         """A connection opened ahead did not come about."""
@@ -132,8 +146,8 @@
 
     def used(self, now_ms: float) -> float | None:
         """The share of its capacity in use by everyone's work, as its servers report it."""
-        loads = self.loads.read(now_ms)
-        return self.load.read(now_ms) / loads if loads >= 1.0 else None
+        looks = self.looks.read(now_ms)
+        return self.load.read(now_ms) / looks if looks >= 1.0 else None
 
 
 def missing_ms(usual_ms: float) -> float:
--- a/badgerbend/sites/fleet.py
+++ b/badgerbend/sites/fleet.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from badgerbend import api
@@ -107,7 +107,7 @@
         for i in range(self.rules.reach):
             yield from self.cells.get((site, (shard + i) % self.rules.cells), {}).values()
 
-    def sound(self, site: int, shard: int, failing: set[int]) -> float:
+    def sound(self, site: int, shard: int, failing: Container[int]) -> float:
         """The share of a shard's holders at a site, by size, that can be asked: 0 where it never had any."""
         sound = known = 0.0
         for server in self.holders(site, shard):
@@ -123,7 +123,7 @@
         age = max(now_ms - server.started_ms, 0.0) / max(r.cold_ms, 1.0)
         return min(1.0, r.cold_from + (1.0 - r.cold_from) * age)
 
-    def room(self, now_ms: float, site: int, failing: set[int]) -> tuple[float, float]:
+    def room(self, now_ms: float, site: int, failing: Iterable[int]) -> tuple[float, float]:
         """Parts a millisecond that a site can serve now, and could with all its servers there and warm."""
         now = self.there[site]
         for server in list(self.cold[site].values()):
--- a/badgerbend/sites/limit.py
+++ b/badgerbend/sites/limit.py
@@ -10,6 +10,10 @@
 and the sum over the F brokers is  s <= p (C - U C) + p s = p (C - L - s) + p s = p (C - L), whoever of them needs how
 much. It is exact only where U and s_i are read over the same time: so `evidence` takes both over one window.
 
+At the limit each settles at  e = p / (1 - p) (1 - U) C / F,  the same for all: the rule above is  e + p (s_i - e).  A
+split that chance made uneven would even out slowly, so a broker above e yields faster than it must, which only lowers
+the sum.
+
 C comes from settings (the pace of a warm server) and from the list (who is there, how warm). Stated too high by a
 factor c, the sum settles at  p c / (1 - p + p c) (C - L),  less than all of the spare room whatever c is. Where servers
 report no load, each broker takes the site's own brokers to be as busy as itself.
@@ -17,7 +21,10 @@
 
 from __future__ import annotations
 
+import math
+
 BURST_MS = 250.0  # an allowance saved up so long can be spent at once
+YIELD = 0.5  # of the pace above the even one that the rule would leave
 LEAST = 2.0  # and never less than this: below, a query of several parts would never go
 
 
@@ -33,7 +40,10 @@
         return 0.0
     if used is None:
         return max(share * (room - own_pace * brokers), 0.0) / others
-    return share * (max(1.0 - used, 0.0) * room / others + spilled_pace)
+    spare = max(1.0 - used, 0.0) * room / others
+    even = share / (1.0 - share) * spare if share < 1.0 else math.inf
+    above = max(spilled_pace - even, 0.0)
+    return share * (spare + spilled_pace - above * YIELD)
 
 
 class Bucket:
--- a/badgerbend/sites/tiers.py
+++ b/badgerbend/sites/tiers.py
@@ -110,10 +110,10 @@
             self.listed_at = self.now
         for server in self.fleet.view(self.now, view):
             if server.site >= 0:
-                self.sites[server.site].seen.failing.discard(server.id)
+                self.sites[server.site].seen.failing.pop(server.id, None)
                 self.sites[server.site].opened.discard(server.id)
         self._sound = {}
-        self.next = -math.inf
+        self._states()
 
     def _missing_ms(self, site: Site) -> float:
         return missing_ms(site.seen.usual_ms)
@@ -122,9 +122,13 @@
         self._sound = {}
         for site in self.sites:
             site.seen.miss(self.now, self._missing_ms(site))
+            site.seen.look(self.now)
+        self._own_share()
+        self._states()
+
+    def _states(self) -> None:
         for site in self.sites:
             self._presence(site)
-        self._own_share()
         self._limits()
 
     def _presence(self, site: Site) -> None:
--- a/badgerbend/standin/day.py
+++ b/badgerbend/standin/day.py
@@ -21,7 +21,8 @@
 from badgerbend.config import decode
 from badgerbend.config.settings import Count, Name, Positive, Settings, load, only_form, read_text
 from badgerbend.standin.audit import Facts, Finding, Line, audit
-from badgerbend.standin.client import Client
+from badgerbend.standin.bysite import Second, seconds
+from badgerbend.standin.client import Client, fetch
 from badgerbend.standin.registry import Entry, Registry
 from badgerbend.standin.traffic import Asker, Flow
 from badgerbend.standin.troubles import KINDS, Trouble
@@ -71,6 +72,8 @@
     needed: Counter[str] = field(default_factory=Counter)
     seen: Counter[str] = field(default_factory=Counter)
     cpu_s: dict[str, float] = field(default_factory=dict)
+    brokers_hold: dict[int, Any] = field(default_factory=dict)  # of sites, at the end
+    seconds: list[Second] = field(default_factory=list)  # where the settings name sites
 
     def service_lines(self) -> list[str]:
         out = []
@@ -100,6 +103,16 @@
             },
             "servers_saw": dict(self.seen),
             "cpu_s": self.cpu_s,
+            "brokers_hold": {str(k): v for k, v in self.brokers_hold.items()},
+            "seconds": [
+                {
+                    "offered": round(s.offered, 2), "served": round(s.served, 2), "best": round(s.best, 2),
+                    "parts": s.parts, "needed": round(s.needed, 1),
+                    "sites": {name: asdict(at) for name, at in s.sites.items()},
+                    "states": [[*key, n] for key, n in sorted(s.states.items())],
+                }
+                for s in self.seconds
+            ],
         }
 
 
@@ -121,6 +134,7 @@
         self.ports: list[int] = []
         self.asker: Asker
         self.cpu: dict[str, float] = {}
+        self.sites: dict[int, Any] = {}  # what brokers hold of them at the end
 
     def record(self, line: Line) -> None:
         line["t"] = time.monotonic() * 1000.0
@@ -212,6 +226,9 @@
     async def stop(self) -> None:
         for index, process in self.brokers.items():
             self.cpu[f"broker {index}"] = cpu_s(process.pid)
+            if self.settings.sites is not None:
+                with contextlib.suppress(ConnectionError):
+                    self.sites[index] = await fetch(self.ports[index], "/sites")
             with contextlib.suppress(ProcessLookupError):
                 process.terminate()
         for process in self.brokers.values():
@@ -272,7 +289,12 @@
         if keep is not None:
             with open(folder / "clients.jsonl", "wb") as sink:
                 sink.writelines(msgspec.json.encode(line) + b"\n" for line in stage.lines)
-        return _judge(lines, settings, stage.cpu)
+        result = _judge(lines, settings, stage.cpu)
+        if settings.sites is not None:
+            length = int(plan.seconds)
+            result.brokers_hold = stage.sites
+            result.seconds = seconds(lines, settings, plan.model, stage.zones, stage.broker_zones, length)
+        return result
 
 
 def _judge(lines: list[Line], settings: Settings, cpu: dict[str, float]) -> Result:
