--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -308,4 +308,8 @@
         safe: it may be lost, or run twice, without harm. What was returned last is what `sent` is told of.
         """
 
+    def pace(self, node: int) -> float:
+        """What a warm server's share is of what this broker may send to its site, in parts a millisecond; 0 where
+        no limit holds there."""
+
     def sent(self, part: int, attempt: int, node: int) -> None: ...
--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -274,7 +274,10 @@
         warmth = self._warmth(node)
         if warmth >= 1.0:
             return True
-        pace = warmth * self._rate("sends") / max(1, self.sound) * self.set.overload_factor * COLD_PACE
+        usual = self._rate("sends") / max(1, self.sound)
+        if self.sites:  # after an outage in which little was sent, what is let back is the measure
+            usual = max(usual, self.sites.pace(node.id))
+        pace = warmth * usual * self.set.overload_factor * COLD_PACE
         node.tokens, node.tokens_at = min(1.0, node.tokens + pace * (self.now - node.tokens_at)), self.now
         return node.tokens >= 1.0
 
--- a/badgerbend/sites/fleet.py
+++ b/badgerbend/sites/fleet.py
@@ -38,6 +38,7 @@
         self.cells: dict[tuple[int, int], dict[int, Server]] = {}  # by site and cell
         self.known = [0.0 for _ in rules.sites]  # size of all servers, there or remembered
         self.there = [0.0 for _ in rules.sites]  # size of those that are ready
+        self.count = [0 for _ in rules.sites]  # and their number: sums of sizes leave a rest by rounding
         self.cold: list[dict[int, Server]] = [{} for _ in rules.sites]  # ready ones that started of late
         self.missing: dict[int, Server] = {}
 
@@ -76,6 +77,7 @@
         if server.site >= 0:
             self.known[server.site] += size - server.size
             self.there[server.site] += size * ready - server.size * server.ready
+            self.count[server.site] += ready - server.ready
         if server.ready and not ready:
             server.gone_ms = now_ms
         server.ready, server.size, server.started_ms = ready, size, started_ms
@@ -97,7 +99,7 @@
     # -- What it says.
     def listed(self, site: int) -> bool:
         """Whether the list has a ready server there."""
-        return self.there[site] > 0.0
+        return self.count[site] > 0
 
     def ready(self, site: int) -> list[Server]:
         return [s for s in self.servers.values() if s.site == site and s.ready]
--- a/badgerbend/sites/tiers.py
+++ b/badgerbend/sites/tiers.py
@@ -29,7 +29,7 @@
 SLOW = 3.0  # an own site slower than so many times another's answers gives up work in proportion
 USUAL = 0.01  # a tick's weight in the usual load of the own site
 WHOLE = 0.9  # a site with so many of its servers tells its usual load
-TRIAL_PACE = 0.008  # parts a millisecond to a site on trial: a row of good answers takes a second
+TRIAL_PACE = 0.016  # parts a millisecond to a site on trial: a row of good answers takes half a second
 EPS = 1e-4  # sums of weights may come up short by this
 NO_SITE, NO_ROOM = "no site holds it", "spill limit"
 
@@ -223,14 +223,23 @@
         band = (query.cls, over_quota)
         self.bands.ask(now, band, worth, fewest, len(query.parts))
         self.demand.add(now, fewest)
-        if self.own.presence.state is State.IN or self.bands.lets_in(now, band, self._room()):
+        if self.own.presence.state is State.IN or self._tries(query, cls):
+            return True
+        if self.bands.lets_in(now, band, self._room()):
             return True
         self.refusals[NO_ROOM, query.cls, query.tenant] += 1
         return False
 
+    def _tries(self, query: api.Query, cls: api.QueryClass) -> bool:
+        """Whether a query serves to try a site. Without it a site on trial would get none while all are refused."""
+        return cls.effect == "safe" and any(
+            s.presence.state is State.TRIAL and s.bucket.fill(self.now) >= 1.0 and self._listed(s, query.parts[0].shard)
+            for s in self.sites
+        )
+
     def _room(self) -> float:
-        """Parts a millisecond that this broker may send anywhere, while its own site is not in."""
-        return sum(s.bucket.pace for s in self.sites)
+        """Parts a millisecond that this broker may send anywhere, while its own site is not in; trials apart."""
+        return sum(s.bucket.pace for s in self.sites if s.presence.state is not State.TRIAL)
 
     def spares(self) -> bool:
         return self.own.presence.state is State.IN or self.bands.spares(self.now, self._room())
@@ -299,6 +308,14 @@
                 out.append((site.tier, -level, site.place, site))
         return [site for *_, site in sorted(out, key=lambda row: row[:3])]
 
+    def pace(self, node: int) -> float:
+        server = self.fleet.servers.get(node)
+        site = self.sites[server.site] if server is not None and server.site >= 0 else self.own
+        if site is self.own and site.presence.state is State.IN:
+            return 0.0
+        warm = self.fleet.room(self.now, site.place, site.seen.failing)[0] / self.rules.server_pace
+        return site.bucket.pace / warm if warm else 0.0
+
     def sent(self, part: int, attempt: int, node: int) -> None:
         server = self.fleet.servers.get(node)
         if server is None or server.site < 0:
--- a/badgerbend/standin/baseline.py
+++ b/badgerbend/standin/baseline.py
@@ -113,6 +113,9 @@
         panics = (ours if own else theirs) < PANIC
         return (level if panics else sound) or level or nodes
 
+    def pace(self, node: int) -> float:
+        return 0.0
+
     def sent(self, part: int, attempt: int, node: int) -> None: ...
 
 
