An own site that is full lets in by worth what it can carry; sites on sockets, tested

Where the surviving site was full of its own work and nobody had room, the module's admission swung between taking all and nothing. The preference now follows the load to the share of work that the own site can carry and lets in by worth; where the load says only full, the stated pace says how far.

--- a/badgerbend/cli.py
+++ b/badgerbend/cli.py
@@ -240,6 +240,8 @@
         row = site | {"state": state}
         table.add_row(*("-" if row[h] is None else str(row[h]) for h in shown))
     console = Console()
+    if not console.is_terminal:
+        console = Console(width=140)  # a file or a pipe has no edge to fold at
     console.print(table)
     for row in found["refusals"]:
         console.print(f"refused: {row['count']} of class {row['class']}, tenant {row['tenant']}: {row['reason']}")
--- a/badgerbend/sites/tiers.py
+++ b/badgerbend/sites/tiers.py
@@ -24,7 +24,10 @@
 from badgerbend.sites.worth import Bands
 
 TICK_MS = 100.0  # how often states and limits are looked at; small beside a hold and a step
-DAMPING = 0.25  # of the way to the share that would fit, a tick
+SAFETY = 0.95  # of the room for work that goes elsewhere is given out: retries and chance take the rest
+FULL = 0.95  # an own site used beyond this gets no more than it can serve, if nobody else has room
+SATURATED = 0.98  # of a site used more than this the load says only that it is full: settings say how far
+DAMPING = 0.05  # of the way to the share that would fit, a tick: slower than the load is read, or it swings
 LEAST_SHARE = 0.05  # an own site that is in keeps so much, or nothing would tell that it has recovered
 SLOW = 3.0  # an own site slower than so many times another's answers gives up work in proportion
 USUAL = 0.01  # a tick's weight in the usual load of the own site
@@ -70,6 +73,7 @@
         self.others = sorted((s for s in self.sites if s.tier != OWN), key=lambda s: s.tier)
         self.demand = Fading(LOAD_HALF_MS)  # parts that queries need at least
         self.fits = self.quick = 1.0  # shares of its work that the own site's load, and its times, leave it
+        self.carries = 1.0  # share of all its work that it can serve at all
         self.usual_load: float | None = None  # of the own site with all its servers and all its work
         self.now, self.next = 0.0, -math.inf
         self.refusals: Counter[tuple[str, int, int]] = Counter()  # by reason, class, tenant
@@ -161,13 +165,23 @@
             fits = min(1.0, max(self.fits * self.rules.fill / used, LEAST_SHARE))
             self.fits += (fits - self.fits) * DAMPING
             self._usual(used)
+            self._carry(used)
         elsewhere = [s.seen.usual_ms for s in self.others if s.open and s.seen.usual_ms]
         took = seen.took_ms(self.now)
         if elsewhere and took:
             quick = min(1.0, max(SLOW * min(elsewhere) / took, LEAST_SHARE))
             self.quick += (quick - self.quick) * DAMPING
         if own.presence.state is not State.IN:
-            self.fits = self.quick = 1.0  # it comes back by its ramp alone
+            self.fits = self.quick = self.carries = 1.0  # it comes back by its ramp alone
+
+    def _carry(self, used: float) -> None:
+        """What the own site can serve of the work that stays there, once it is full."""
+        carries = min(1.0, max(self.carries * FULL / used, LEAST_SHARE))
+        demand = self.demand.pace(self.now)
+        if used > SATURATED and demand:
+            room, _ = self.fleet.room(self.now, self.own.place, self.own.seen.failing)
+            carries = min(carries, max(FULL * room / self.own.brokers / demand, LEAST_SHARE))
+        self.carries += (carries - self.carries) * (DAMPING if carries > self.carries else 4 * DAMPING)
 
     def _usual(self, used: float) -> None:
         room, whole = self.fleet.room(self.now, self.own.place, self.own.seen.failing)
@@ -223,7 +237,7 @@
         band = (query.cls, over_quota)
         self.bands.ask(now, band, worth, fewest, len(query.parts))
         self.demand.add(now, fewest)
-        if self.own.presence.state is State.IN or self._tries(query, cls):
+        if self._fits_all() or self._tries(query, cls):
             return True
         if self.bands.lets_in(now, band, self._room()):
             return True
@@ -237,12 +251,20 @@
             for s in self.sites
         )
 
+    def _fits_all(self) -> bool:
+        return self.own.presence.state is State.IN and self.carries > SATURATED
+
     def _room(self) -> float:
-        """Parts a millisecond that this broker may send anywhere, while its own site is not in; trials apart."""
-        return sum(s.bucket.pace for s in self.sites if s.presence.state is not State.TRIAL)
+        """Parts a millisecond that this broker may send anywhere, trials apart."""
+        inside = self.own.presence.state is State.IN
+        room = self.carries * self.demand.pace(self.now) if inside else 0.0
+        for site in self.sites:
+            if site.presence.state is not State.TRIAL and not (site is self.own and inside):
+                room += site.bucket.pace * SAFETY
+        return room
 
     def spares(self) -> bool:
-        return self.own.presence.state is State.IN or self.bands.spares(self.now, self._room())
+        return self._fits_all() or self.bands.spares(self.now, self._room())
 
     def rank(self, shard: int) -> int:
         return max((FAR + 1 - s.tier for s in self.sites if self._may(s, shard)), default=0)
--- a/badgerbend/sites/worth.py
+++ b/badgerbend/sites/worth.py
@@ -13,7 +13,6 @@
 from badgerbend.sites.evidence import Fading
 
 HALF_MS = 2000.0  # of demand
-SAFETY = 0.95  # of the room is given out: retries and chance take the rest
 Band = tuple[int, bool]  # class, beyond the quota
 
 
@@ -43,7 +42,7 @@
     def share(self, now_ms: float, band: Band, room: float) -> float:
         """What share of a band's demand fits in `room` parts a millisecond after all that is worth more."""
         mine = self.bands[band]
-        left = room * SAFETY
+        left = room
         for other, demand in self.bands.items():
             if other != band and (demand.worth, other) > (mine.worth, band):
                 left -= demand.fewest.pace(now_ms)
@@ -60,4 +59,4 @@
         return False
 
     def spares(self, now_ms: float, room: float) -> bool:
-        return sum(d.whole.pace(now_ms) for d in self.bands.values()) <= room * SAFETY
+        return sum(d.whole.pace(now_ms) for d in self.bands.values()) <= room
--- /dev/null
+++ b/tests/test_siting.py
@@ -0,0 +1,208 @@
+"""Sites on sockets: a short day judged from the records, work moved by hand, and what settings are refused."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+import uvloop
+from sockets import Stage, run, until
+
+from badgerbend.broker import Broker
+from badgerbend.cli import app
+from badgerbend.config import settings as cfg
+from badgerbend.config.sexpr import SettingsError
+from badgerbend.standin.client import fetch
+from badgerbend.standin.day import load_day, play
+
+EXAMPLES = Path(__file__).parent.parent / "examples" / "sites"
+KEY = "a key of enough letters"
+SITES = cfg.Sites(
+    (cfg.Site("north", (0,), 1), cfg.Site("south", (1,), 0)), server_parts_per_s=400.0, watch=0.0, step_ms=50.0,
+    hold_ms=200.0, key="key",
+)  # fmt: skip
+
+
+def test_every_example_of_sites_is_a_day_that_fits():
+    days = [p for p in sorted(EXAMPLES.glob("*.conf")) if p.name != "broker.conf"]
+    assert len(days) >= 9
+    for path in days:
+        assert load_day(path).settings == "broker.conf"
+    assert cfg.load(EXAMPLES / "broker.conf").sites is not None
+
+
+def test_a_short_day_without_a_site_keeps_the_rules_and_its_limit():
+    """Two sites, four brokers as processes; the north is lost for 3 s and comes back cold."""
+    path = EXAMPLES / "short.conf"
+    result = uvloop.run(play(load_day(path), path, None))
+    assert not [c for r in result.rules for c in r.cases if r.name != "no query lost"]
+    lost = next(r for r in result.rules if r.name == "no query lost")
+    assert not [c for c in lost.cases if "late" not in c], "a machine that stalls makes answers late, never none"
+    gone = [s for s in result.seconds if s.sites["north"].room == 0.0]
+    assert gone and all(s.sites["north"].own == 0 for s in gone[1:])
+    assert sum(s.sites["south"].spilled for s in gone) > 50
+    assert all(s.sites["south"].spilled <= s.sites["south"].limit for s in result.seconds)
+    assert {name for held in result.brokers_hold.values() for name in (x["name"] for x in held["sites"])} == {
+        "north", "south",
+    }  # fmt: skip
+
+
+class Keyed(Broker):
+    folder = Path()
+
+    def __init__(self, settings, graph):
+        super().__init__(settings, graph, self.folder)
+
+
+async def ask_some(stage, count=40):
+    await asyncio.gather(*(stage.client.query("{ rateCompare(blocks: [1, 2, 3, 4], amount: 9000) { id } }") for _ in range(count)))
+
+
+def arrivals(stage, zone):
+    names = {s.name for s in stage.world.servers.values() if s.zone == zone}
+    return sum(len(r["parts"]) for r in stage.seen("arrive") if r["server"] in names)
+
+
+def test_a_site_is_drained_and_returned_by_hand_by_those_who_have_the_key(tmp_path):
+    (tmp_path / "key").write_text(KEY + "\n")
+
+    class Here(Keyed):
+        folder = tmp_path
+
+    async def main():
+        async with Stage(count=24, broker=Here, sites=SITES) as stage:
+            await ask_some(stage)
+            assert arrivals(stage, 0) > 100 and arrivals(stage, 1) == 0
+            for method, path, token, says in (
+                ("POST", "/sites/north/drain", None, "403"), ("POST", "/sites/north/drain", "wrong", "403"),
+                ("POST", "/sites/west/drain", KEY, "404"), ("POST", "/sites/north/sink", KEY, "404"),
+                ("GET", "/sites/north/drain", KEY, "405"),
+            ):  # fmt: skip
+                with pytest.raises(ConnectionError, match=says):
+                    await fetch(stage.port, path, "127.0.0.1", method, token)
+            told = await fetch(stage.port, "/sites/north/drain", "127.0.0.1", "POST", KEY)
+            assert told["sites"][0]["drained"]
+            tiers = stage.broker.siting.tiers
+            while tiers.own.presence.kept > 0:
+                await ask_some(stage, 4)
+                await asyncio.sleep(0.02)
+            stage.records.clear()
+            answers = await asyncio.gather(
+                *(stage.client.query("{ fullQuote(blocks: [1, 2], amount: 9000) { id } }") for _ in range(10))
+            )
+            assert all("errors" not in a for _, a, _ in answers)
+            assert arrivals(stage, 1) > arrivals(stage, 0)
+            await fetch(stage.port, "/sites/north/return", "127.0.0.1", "POST", KEY)
+            while tiers.own.presence.kept < 1:
+                await ask_some(stage, 4)
+                await asyncio.sleep(0.02)
+            stage.records.clear()
+            await ask_some(stage, 10)
+            assert arrivals(stage, 1) == 0 < arrivals(stage, 0)
+            stage.broker._gauges()
+            assert b'badgerbend_site{site="north",what="share"} 1.0' in stage.broker.metrics.text()
+
+    run(main)
+
+
+def test_a_lost_site_is_left_and_connections_are_opened_ahead_of_its_return(tmp_path):
+    (tmp_path / "key").write_text(KEY)
+
+    class Here(Keyed):
+        folder = tmp_path
+
+    async def main():
+        async with Stage(count=24, broker=Here, sites=SITES) as stage:
+            await ask_some(stage)
+            north = [s.name for s in stage.world.servers.values() if s.zone == 0]
+            for name in north:
+                stage.world.crash(name)
+            tiers = stage.broker.siting.tiers
+            await until(lambda: tiers.own.presence.state.value == "out")
+            _, answer, _ = await stage.client.query("{ fullQuote(blocks: [1, 2], amount: 9000) { id } }")
+            assert "errors" not in answer
+            for name in north:
+                await stage.world.restart(name)
+            await until(lambda: len(tiers.own.opened) == len(north))
+            assert stage.broker.siting.tiers.own.presence.state.value != "in"
+
+            async def back():
+                while tiers.own.presence.state.value != "in":
+                    await ask_some(stage, 4)
+                    await asyncio.sleep(0.02)
+
+            await back()
+            assert not stage.seen("fell")
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("(zones 1)", "(zones 0)", "zone 0 stands in two sites"),
+        ("(site south", "(site north", "two sites are named north"),
+        ("(site south (zones 1) (brokers 2))", "(site south (zones 1) (brokers 3))", "5 brokers together"),
+        ("(identity (index 0) (count 4) (zone 0))", "(identity (index 0) (count 4) (zone 7))", "zone 7 is in no site"),
+        ("(spill 0.8)", "(spill 1.8)", "broker > sites > spill: expected a number > 0 and <= 1"),
+        ("(spill 0.8)", "(spil 0.8)", "did you mean spill?"),
+        ("(site north (zones 0) (brokers 2))", "(site north (zones 0) (brokers 2) (near east))", "no other site"),
+        ("(spill 0.8)", "(hold-ms 9000) (hold-most-ms 100)", "hold-most-ms must not be less than hold-ms"),
+    ],
+)
+def test_settings_of_sites_that_do_not_fit_are_refused_with_their_place(old, new, says):
+    text = (EXAMPLES / "broker.conf").read_text()
+    assert old in text
+    with pytest.raises(SettingsError) as err:
+        cfg.parse(text.replace(old, new, 1), "x.conf")
+    assert says in str(err.value) and str(err.value).startswith("x.conf:")
+
+
+def test_a_key_that_can_be_guessed_is_refused(tmp_path, monkeypatch):
+    (tmp_path / "key").write_text("short")
+    text = (EXAMPLES / "broker.conf").read_text().replace("(spill 0.8)", '(key "key")')
+    schema = (EXAMPLES / "../../badgerbend/standin/rates/schema.graphql").resolve()
+    text = text.replace("../../badgerbend/standin/rates/schema.graphql", str(schema))
+    (tmp_path / "broker.conf").write_text(text)
+    from typer.testing import CliRunner
+
+    result = CliRunner().invoke(app, ["run", str(tmp_path / "broker.conf")])
+    assert result.exit_code == 3
+
+
+def test_sites_seen_from_the_command_line(tmp_path):
+    (tmp_path / "key").write_text(KEY)
+
+    class Here(Keyed):
+        folder = tmp_path
+
+    async def main():
+        async with Stage(count=24, broker=Here, sites=SITES) as stage:
+            await ask_some(stage, 5)
+
+            async def command(*args):
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "badgerbend", "site", *args, "--port", str(stage.port),
+                    stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+                )  # fmt: skip
+                out, err = await process.communicate()
+                return process.returncode, out.decode(), err.decode()
+
+            status, out, _ = await command("status")
+            assert status == 0 and "north" in out and "south" in out
+            status, out, _ = await command("drain", "north", "--key", str(tmp_path / "key"))
+            assert status == 0 and "drained" in out
+            assert stage.broker.siting.tiers.own.presence.drained
+            (tmp_path / "other").write_text("another key of letters")
+            status, _, err = await command("return", "north", "--key", str(tmp_path / "other"))
+            assert status == 3 and "403" in err
+            assert stage.broker.siting.tiers.own.presence.drained
+
+    run(main)
+
+
+def test_replacing_the_settings_of_a_stage_keeps_their_checks():
+    base = cfg.load(EXAMPLES / "broker.conf")
+    with pytest.raises(ValueError, match="in no site"):
+        msgspec.structs.replace(base, identity=cfg.Identity(0, 4, 9)).__post_init__()
