Remote read's wire forms, matchers, placement of series and merge, pure and tested

The second front needs them before any socket. remote/ has the messages (a .proto written from the specification, made by `make proto`), frames with CRC-32C, XOR chunks, anchored RE2 matchers, placement by XXH64 of the placing labels with the shards that a query must ask, and a k-way merge that opens only chunks which overlap. Nothing uses them yet.

--- a/Makefile
+++ b/Makefile
@@ -16,4 +16,7 @@
 day: $(BIN)/badgerbend
 	$(BIN)/badgerbend day examples/bad-day/day.conf
 
-.PHONY: demo test day
+proto: $(BIN)/badgerbend
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. badgerbend/remote/remote.proto
+
+.PHONY: demo test day proto
--- /dev/null
+++ b/tests/test_remote.py
@@ -0,0 +1,259 @@
+"""Remote read's wire forms against bytes made by hand, and the merge against a plain one."""
+
+import math
+import struct
+
+import cramjam
+import google_crc32c
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from badgerbend.remote import remote_pb2 as pb
+from badgerbend.remote import xor
+from badgerbend.remote.frames import BadFrame, Frames, frame
+from badgerbend.remote.matchers import EQ, NEQ, NRE, RE, BadMatcher, fit, matcher
+from badgerbend.remote.merge import Limits, TooMuch, merged, packed
+from badgerbend.remote.placing import shard_of, shards_of
+from badgerbend.remote.series import BadPart, Block, Series, checked
+
+# -- Bytes made by hand from the specifications.
+REQUEST = bytes.fromhex(
+    "0a 17"  # queries, 23 bytes
+    "08 e8 07"  # start 1000
+    "10 d0 0f"  # end 2000
+    "1a 0f"  # a matcher, 15 bytes
+    "08 02"  # =~
+    "12 03 6a 6f 62"  # job
+    "1a 06 61 70 69 7c 64 62"  # api|db
+    "12 02 01 00"  # accepted: chunks, samples
+)
+
+
+def test_a_request_made_by_hand_is_read():
+    got = pb.ReadRequest.FromString(REQUEST)
+    (query,) = got.queries
+    assert (query.start_timestamp_ms, query.end_timestamp_ms) == (1000, 2000)
+    assert [(m.type, m.name, m.value) for m in query.matchers] == [(RE, "job", "api|db")]
+    assert list(got.accepted_response_types) == [1, 0]
+    assert got.SerializeToString() == REQUEST
+
+
+def test_histograms_pass_through_unread():
+    body = bytes.fromhex("22 03 08 96 01")  # field 4, whatever is in it
+    assert pb.TimeSeries.FromString(body).SerializeToString() == body
+
+
+def test_snappy_blocks_made_by_hand_are_read():
+    assert bytes(cramjam.snappy.decompress_raw(b"\x05\x10hello")) == b"hello"  # one literal
+    assert bytes(cramjam.snappy.decompress_raw(b"\x0a\x00a\x15\x01")) == b"a" * 10  # a literal, then a copy of it
+    assert bytes(cramjam.snappy.decompress_raw(bytes(cramjam.snappy.compress_raw(REQUEST)))) == REQUEST
+
+
+@pytest.mark.parametrize(
+    ("data", "sum_"),
+    [(b"123456789", 0xE3069283), (bytes(32), 0x8A9136AA), (b"\xff" * 32, 0x62A8AB43), (bytes(range(32)), 0x46DD794E)],
+)
+def test_checksums_are_those_published(data, sum_):
+    assert google_crc32c.value(data) == sum_
+    assert frame(data) == bytes([len(data)]) + sum_.to_bytes(4, "big") + data
+
+
+@given(st.lists(st.binary(max_size=300), max_size=5), st.integers(1, 64))
+def test_frames_are_read_in_whatever_pieces_they_come(messages, piece):
+    stream, reader, got = b"".join(map(frame, messages)), Frames(1000), []
+    for at in range(0, len(stream), piece):
+        got += reader.feed(stream[at : at + piece])
+    reader.end()
+    assert got == messages
+
+
+@pytest.mark.parametrize(
+    "stream",
+    [frame(b"abc")[:-1] + b"x", b"\x05\0\0\0\0hello", b"\xff" * 11, frame(b"x" * 101)],
+)
+def test_a_spoiled_stream_is_an_error(stream):
+    with pytest.raises(BadFrame):
+        list(Frames(100).feed(stream))
+
+
+def test_a_stream_cut_short_is_an_error_at_its_end():
+    reader = Frames(100)
+    assert list(reader.feed(frame(b"abc") + b"\x05")) == [b"abc"]
+    with pytest.raises(BadFrame, match="within a frame"):
+        reader.end()
+
+
+CHUNKS = [
+    (  # two equal samples 15 s apart: count, time 1000 as a varint, 1.0, 15000 as a varint, one 0 bit
+        [(1000, 1.0), (16_000, 1.0)],
+        "0002 d00f 3ff0000000000000 9875 00",
+    ),
+    (  # 1.0 to 2.0: the bits differ in 3ff^400 = 7ff: 1 leading zero, 11 bits, 52 behind; 11 00001 001011 11111111111
+        [(0, 1.0), (1, 2.0)],
+        "0002 00 3ff0000000000000 01 c2 5f ff",
+    ),
+    (  # steady times: the third sample's delta has not changed (0), its value neither (0)
+        [(0, 0.0), (10, 0.0), (20, 0.0)],
+        "0003 00 0000000000000000 0a 00",
+    ),
+    (  # a delta that grew by one: 0 for the value, 10 and 14 bits for the change, 0 for the value
+        [(0, 0.0), (10, 0.0), (21, 0.0)],
+        "0003 00 0000000000000000 0a 40 00 80",
+    ),
+]
+
+
+@pytest.mark.parametrize(("samples", "golden"), CHUNKS)
+def test_chunks_made_by_hand_are_read_and_written(samples, golden):
+    data = bytes.fromhex(golden)
+    assert list(xor.decode(data)) == samples
+    assert xor.encode(samples) == data
+
+
+TIMES = st.lists(st.integers(0, 1 << 45), min_size=1, max_size=200, unique=True).map(sorted)
+
+
+@given(TIMES, st.randoms(use_true_random=False))
+def test_chunks_come_back_as_they_went(times, rng):
+    kinds = (lambda: 0.0, lambda: rng.gauss(0, 1), lambda: math.inf, lambda: -0.0, lambda: float(rng.randrange(1000)),
+             lambda: struct.unpack(">d", rng.randbytes(8))[0])  # fmt: skip
+    samples = [(t, rng.choice(kinds)()) for t in times]
+    back = list(xor.decode(xor.encode(samples)))
+    assert [t for t, _ in back] == times
+    assert [struct.pack(">d", v) for _, v in back] == [struct.pack(">d", v) for _, v in samples]
+
+
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_chunk_end_in_its_own_error(data):
+    try:
+        for _ in xor.decode(data):
+            pass
+    except xor.BadChunk:
+        pass
+
+
+# -- Matchers and placement.
+def test_matchers_are_anchored_and_take_a_missing_label_as_empty():
+    labels = {"job": "api", "pod": "a\nb"}
+    assert fit([matcher(EQ, "job", "api"), matcher(NEQ, "job", "db"), matcher(EQ, "zone", "")], labels)
+    assert fit([matcher(RE, "job", "a.*|x"), matcher(RE, "pod", "a.b"), matcher(NRE, "zone", ".+")], labels)
+    for kind, name, value in ((RE, "job", "ap"), (RE, "job", "pi"), (NEQ, "zone", ""), (NRE, "job", "api")):
+        assert not fit([matcher(kind, name, value)], labels)
+
+
+@pytest.mark.parametrize(
+    ("kind", "name", "value", "says"),
+    [(RE, "job", "a(", "missing"), (RE, "job", r"(a)\1", "invalid escape"), (RE, "job", "a" * 5000, "5000 characters"),
+     (7, "job", "a", "none of"), (EQ, "", "a", "without"), (RE, "job", "((a{1,100}){1,100}){1,100}", "job")],
+)  # fmt: skip
+def test_what_cannot_be_matched_is_refused_in_words(kind, name, value, says):
+    with pytest.raises(BadMatcher, match=says):
+        matcher(kind, name, value)
+
+
+def test_an_expression_that_hangs_others_does_not_hang():
+    assert not matcher(RE, "job", "(a+)+b").fits({"job": "a" * 100_000})
+
+
+NAMES, VALUES = ("job", "name", "pod"), ("", "a", "b", "c", "a|b", ".*", "[ab]")
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from([EQ, NEQ, RE, NRE]), *map(st.sampled_from, (NAMES, VALUES))), max_size=4),
+    st.dictionaries(st.sampled_from(NAMES), st.sampled_from(["", "a", "b", "c", "a|b"])),
+    st.integers(1, 50),
+)
+def test_a_series_that_fits_is_never_at_a_shard_that_is_not_asked(rows, labels, shards):
+    matchers = [matcher(*row) for row in rows]
+    asked = shards_of(matchers, ("job", "name"), shards)
+    if fit(matchers, labels):
+        assert shard_of(labels, ("job", "name"), shards) in asked
+
+
+def test_equalities_on_the_placing_labels_ask_one_shard_and_literals_few():
+    both = [matcher(EQ, "job", "api"), matcher(EQ, "name", "up")]
+    assert len(shards_of(both, ("job", "name"), 1000)) == 1
+    few = [matcher(RE, "job", "api|db|web"), matcher(EQ, "name", "up")]
+    assert len(shards_of(few, ("job", "name"), 1000)) == 3
+    assert len(shards_of([matcher(EQ, "job", "api")], ("job", "name"), 1000)) == 1000
+    assert shards_of([*both, matcher(EQ, "job", "db")], ("job", "name"), 1000) == []
+
+
+# -- The merge.
+LABELS = st.sampled_from([(("a", "1"),), (("a", "1"), ("b", "1")), (("a", "2"),), (("b", "é"),)])
+SAMPLES = st.dictionaries(st.integers(0, 60), st.sampled_from([0.0, 1.0, 2.5, math.nan, -1.0]), min_size=1)
+PARTS = st.lists(st.dictionaries(LABELS, SAMPLES), max_size=4)
+
+
+def part(series, size):
+    """A part's series in chunks of so many samples."""
+    for labels in sorted(series):
+        rows = sorted(series[labels].items())
+        some = [rows[at : at + size] for at in range(0, len(rows), size)]
+        yield Series(labels, [Block(s[0][0], s[-1][0], xor.encode(s)) for s in some])
+
+
+def plain(parts):
+    """Everything decoded and sorted."""
+    out = {}
+    for series in parts:
+        for labels, rows in series.items():
+            for at, value in rows.items():
+                held = out.setdefault(labels, {})
+                best = max([held.get(at, value), value], key=lambda v: (not math.isnan(v), struct.pack(">d", v)))
+                held[at] = best
+    return {labels: [(t, struct.pack(">d", rows[t])) for t in sorted(rows)] for labels, rows in sorted(out.items())}
+
+
+def opened(stream):
+    return {
+        s.labels: [(t, struct.pack(">d", v)) for b in s.blocks for t, v in xor.decode(b.data)] for s in stream
+    }
+
+
+@given(PARTS, st.integers(1, 30))
+def test_the_merge_is_that_of_a_plain_one_whoever_comes_first(parts, size):
+    wanted = plain(parts)
+    for order in (parts, parts[::-1]):
+        got = opened(merged([checked(part(p, size), "part") for p in order], Limits()))
+        assert got == wanted and list(got) == list(wanted)
+
+
+def test_chunks_that_do_not_overlap_pass_through_as_they_are():
+    early, late = packed([(t, 1.0) for t in range(240)]), packed([(t, 1.0) for t in range(240, 480)])
+    labels = (("a", "1"),)
+    (series,) = merged([[Series(labels, early)], [Series(labels, late)], [Series(labels, early)]], Limits())
+    assert [b.data for b in series.blocks] == [b.data for b in early + late]
+
+
+@pytest.mark.parametrize(
+    "series",
+    [
+        [Series((("b", "1"), ("a", "1")), [])], [Series((("a", "1"), ("a", "2")), [])],
+        [Series((("a", "2"),), []), Series((("a", "1"),), [])], [Series((("a", "1"),), []), Series((("a", "1"),), [])],
+        [Series((("a", "1"),), [Block(5, 4, b"")])], [Series((("a", "1"),), [Block(0, 5, b""), Block(5, 9, b"")])],
+    ],
+)  # fmt: skip
+def test_a_part_out_of_order_is_an_error_of_that_part(series):
+    with pytest.raises(BadPart, match="server 7"):
+        list(checked(series, "server 7"))
+
+
+def test_limits_are_kept_as_it_comes():
+    many = [Series((("a", f"{i:03}"),), packed([(0, 1.0), (1, 1.0)])) for i in range(100)]
+    taken = []
+    with pytest.raises(TooMuch, match="more than 10 series"):
+        taken.extend(s for s in merged([many], Limits(series=10)))
+    with pytest.raises(TooMuch, match="more than 21 samples"):
+        list(merged([many], Limits(samples=21)))
+    pair = [Series((("a", "1"),), packed([(t, 1.0) for t in range(start, start + 50)])) for start in (0, 1)]
+    with pytest.raises(TooMuch, match="overlap"):
+        list(merged([[pair[0]], [pair[1]]], Limits(overlapping=99)))
+
+
+def test_a_spoiled_chunk_under_an_overlap_is_an_error_of_a_part():
+    good = packed([(t, 1.0) for t in range(10)])
+    bad = [Block(3, 12, good[0].data[:10])]
+    with pytest.raises(BadPart, match="a chunk"):
+        list(merged([[Series((("a", "1"),), good)], [Series((("a", "1"),), bad)]], Limits()))
