Requests and answers of remote read: both kinds, limits before unpacking

What the front will need next: a request read with its limits and refused in words, asked on to servers, answers as frames or as samples, servers' answers of both kinds as series for the merge. Still unused by the broker. Tested on bytes, both ways and against each other; 19 more tests.

--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -29,9 +29,10 @@
 PURE = (
     "config/sexpr.py", "config/decode.py", "discovery/lines.py", "knowledge/record.py", "knowledge/trust.py",
     "membership/messages.py", "membership/swim.py", "runtime/ports.py", "graphql/checks.py", "graphql/selection.py",
-    "remote/frames.py", "remote/matchers.py", "remote/merge.py", "remote/placing.py", "remote/series.py",
-    "remote/xor.py", "sites/evidence.py", "sites/fleet.py", "sites/limit.py", "sites/presence.py", "sites/rules.py",
-    "sites/setup.py", "sites/status.py", "sites/tiers.py", "sites/worth.py", "standin/audit.py", "standin/work.py",
+    "remote/codec.py", "remote/frames.py", "remote/matchers.py", "remote/merge.py", "remote/placing.py",
+    "remote/series.py", "remote/xor.py", "sites/evidence.py", "sites/fleet.py", "sites/limit.py",
+    "sites/presence.py", "sites/rules.py", "sites/setup.py", "sites/status.py", "sites/tiers.py", "sites/worth.py",
+    "standin/audit.py", "standin/work.py",
 )  # fmt: skip
 
 
--- a/tests/test_remote.py
+++ b/tests/test_remote.py
@@ -9,8 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from badgerbend.remote import codec, xor
 from badgerbend.remote import remote_pb2 as pb
-from badgerbend.remote import xor
 from badgerbend.remote.frames import BadFrame, Frames, frame
 from badgerbend.remote.matchers import EQ, NEQ, NRE, RE, BadMatcher, fit, matcher
 from badgerbend.remote.merge import Limits, TooMuch, merged, packed
@@ -257,3 +257,80 @@
     bad = [Block(3, 12, good[0].data[:10])]
     with pytest.raises(BadPart, match="a chunk"):
         list(merged([[Series((("a", "1"),), good)], [Series((("a", "1"),), bad)]], Limits()))
+
+
+# -- Requests and answers.
+def packed_request(**fields):
+    return bytes(cramjam.snappy.compress_raw(pb.ReadRequest(**fields).SerializeToString()))
+
+
+def a_query(start=0, end=1000, kind=EQ, name="job", value="api"):
+    return pb.Query(
+        start_timestamp_ms=start, end_timestamp_ms=end, matchers=[pb.LabelMatcher(type=kind, name=name, value=value)]
+    )
+
+
+def test_a_request_is_read_and_asked_on_as_it_was():
+    body = bytes(cramjam.snappy.compress_raw(REQUEST))
+    reads, kind = codec.request(body, codec.ReadLimits())
+    assert kind == codec.CHUNKS and reads[0].matchers[0] == matcher(RE, "job", "api|db")
+    again, kind = codec.request(codec.asked(reads, codec.SAMPLES), codec.ReadLimits())
+    assert again == reads and kind == codec.SAMPLES
+
+
+@pytest.mark.parametrize(
+    ("body", "says"),
+    [
+        (b"", "no snappy block"), (b"\xff" * 9, "no snappy block"), (b"\x05\x10hell", "no snappy block"),
+        (bytes(cramjam.snappy.compress_raw(b"\xff\xff")), "no ReadRequest"),
+        (b"\x80\x80\x80\x80\x08", "bytes unpacked, 1048576 are allowed"),
+        (packed_request(queries=[a_query(5, 4)]), "before its start"),
+        (packed_request(queries=[a_query(0, 1 << 60)]), "spans"),
+        (packed_request(queries=[pb.Query()]), "0 matchers"),
+        (packed_request(queries=[a_query(kind=RE, value="(")]), "query 0: the expression on job"),
+        (packed_request(queries=[a_query()] * 65), "65 queries"),
+        (packed_request(queries=[a_query()], accepted_response_types=[9]), "none of them is known"),
+    ],
+)  # fmt: skip
+def test_a_request_that_cannot_be_served_is_refused_in_words(body, says):
+    with pytest.raises(codec.BadRequest, match=says):
+        codec.request(body, codec.ReadLimits())
+
+
+def test_both_kinds_of_answer_bring_the_same_series_and_long_ones_go_over_frames():
+    rows = [(t * 1000, math.sin(t)) for t in range(4000)]
+    wanted = [Series((("a", "1"),), packed(rows)), Series((("a", "2"),), packed([(0, 1.0)]))]
+    frames = list(codec.streamed(0, wanted, 10_000))
+    assert len(frames) > 3 and max(map(len, frames)) < 12_000
+    messages = list(Frames(2 << 20).feed(b"".join(frames)))
+    assert [s for _, s in codec.from_chunks(messages)] == wanted
+    (read,), _ = codec.request(packed_request(queries=[a_query(0, 10**9)]), codec.ReadLimits())
+    body = codec.sampled([wanted], [read])
+    got = [s for _, s in codec.from_samples(body, 1 << 24)]
+    assert [s.labels for s in got] == [s.labels for s in wanted] and got[0].blocks == wanted[0].blocks
+
+
+def test_samples_outside_of_the_asked_times_are_left_out():
+    (read,), _ = codec.request(packed_request(queries=[a_query(10, 20)]), codec.ReadLimits())
+    series = [Series((("a", "1"),), packed([(t, 1.0) for t in range(100)])), Series((("b", "1"),), packed([(5, 1.0)]))]
+    answer = pb.ReadResponse.FromString(bytes(cramjam.snappy.decompress_raw(codec.sampled([series], [read]))))
+    (one,) = answer.results[0].timeseries
+    assert [s.timestamp for s in one.samples] == list(range(10, 21))
+
+
+def test_histograms_pass_as_chunks_and_are_refused_as_samples():
+    chunk = Block(0, 5, b"\0\1whatever", 2)
+    series = Series((("a", "1"),), [chunk])
+    messages = list(Frames(1000).feed(b"".join(codec.streamed(3, merged([[series]], Limits())))))
+    assert list(codec.from_chunks(messages)) == [(3, series)]
+    (read,), _ = codec.request(packed_request(queries=[a_query()]), codec.ReadLimits())
+    with pytest.raises(BadPart, match="streamed chunks only"):
+        codec.sampled([[series]], [read])
+
+
+@pytest.mark.parametrize("body", [b"", b"\x02\x04\xff\xff", bytes(cramjam.snappy.compress_raw(
+    pb.ReadResponse(results=[pb.QueryResult(timeseries=[pb.TimeSeries(samples=[pb.Sample(timestamp=2),
+    pb.Sample(timestamp=1)])])]).SerializeToString()))])  # fmt: skip
+def test_a_bad_answer_of_a_server_is_an_error_of_its_part(body):
+    with pytest.raises(BadPart):
+        list(codec.from_samples(body, 1000))
