--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -24,6 +24,7 @@
 from badgerbend.peering.service import Learning, OwnAnswers
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.loop import LoopSchedule
+from badgerbend.sites.tiers import Tiers
 from badgerbend.siting import Siting
 
 SWEEP_S = 0.5
@@ -44,12 +45,13 @@
 
 
 class Broker:
-    """Built and used on one running loop. Baselines put others in the place of `decisions` and `preference`.
+    """Built and used on one running loop. Baselines put others in the place of `decisions`, `tiers` and `preference`.
 
     folder: what files named in the settings are relative to. Raises ValueError or OSError for a sites' key.
     """
 
     decisions = Aggregator
+    tiers = Tiers
 
     def __init__(self, settings: Settings, graph: Subgraph, folder: Path = Path()) -> None:  # noqa: B008
         loop = asyncio.get_running_loop()
@@ -76,7 +78,7 @@
         self.siting: Siting | None = None
         if settings.sites is not None:
             self.siting = Siting(
-                settings, settings.sites, folder, self._pool, self.schedule.now_ms, self.metrics
+                settings, settings.sites, folder, self._pool, self.schedule.now_ms, self.metrics, self.tiers
             )
         preference = self.preference()
         decisions = self.decisions(module, settings.seed * 1_000_003 + settings.identity.index, preference)
--- a/badgerbend/siting.py
+++ b/badgerbend/siting.py
@@ -38,9 +38,10 @@
         pool_of: Callable[[int], Pool | None],
         now_ms: Callable[[], float],
         metrics: Metrics,
+        kind: type[Tiers] = Tiers,
     ) -> None:
         self.settings, self.pool_of, self.now_ms, self.metrics = settings, pool_of, now_ms, metrics
-        self.tiers = Tiers(rules_of(settings, sites), settings.seed * 1_000_003 + settings.identity.index)
+        self.tiers = kind(rules_of(settings, sites), settings.seed * 1_000_003 + settings.identity.index)
         self.key = (folder / sites.key).read_bytes().strip() if sites.key else None
         if self.key is not None and len(self.key) < LEAST_KEY:
             raise ValueError(f"the sites' key {sites.key} has less than {LEAST_KEY} bytes")
--- a/badgerbend/standin/baseline.py
+++ b/badgerbend/standin/baseline.py
@@ -58,10 +58,7 @@
 
 
 class Unlimited(Broker):
-    def preference(self) -> api.Sites | None:
-        assert self.siting is not None
-        self.siting.tiers.__class__ = _Unlimited
-        return self.siting.tiers
+    tiers = _Unlimited
 
 
 class Priority:
