--- a/benchmarks/sites_simulated.py
+++ b/benchmarks/sites_simulated.py
@@ -2,7 +2,8 @@
 
 Two sites of 8 servers (50 parts a second each) and two brokers each; two classes of 4 parts, one of which any 2 answer.
 The north is lost at 10 s for 15 s and comes back cold. `of best` is worth served over what the room of all servers up
-and warm could earn, each second's parts given to the queries that earn most by a part.
+and warm could earn, each second's parts given to the queries that earn most by a part. Users' figures: the share of
+what they ask at brokers of a site that is answered whole, from two seconds after the loss to the return.
 
     python benchmarks/sites_simulated.py [--seeds 10] [--chart FILE.png]
 """
@@ -63,8 +64,10 @@
 def seconds(world: World, began: float) -> list[dict[str, float]]:
     first, out = int(began // 1000), []
     served: Counter[int] = Counter()
-    for at, _, cls, how, took in world.ends:
+    users: Counter[tuple[int, int, bool]] = Counter()  # by second, the site where they ask, and whether served
+    for at, broker, cls, how, took in world.ends:
         c = SETTINGS.classes[cls]
+        users[int(at // 1000), world.brokers[broker].home, how == "whole"] += 1
         if how == "whole":
             served[int(at // 1000)] += c.worth * (1.0 if took <= c.aim_ms else c.late_worth)
     wants: dict[int, Counter[float]] = {}
@@ -88,6 +91,8 @@
             "spilled": float(world.spilled[1, at]), "limit": world.limit(1, at),
             "north": float(world.own[0, at] + world.spilled[0, at]),
             "south": float(world.own[1, at] + world.spilled[1, at]),
+            "n True": float(users[at, 0, True]), "n False": float(users[at, 0, False]),
+            "s True": float(users[at, 1, True]), "s False": float(users[at, 1, False]),
         })  # fmt: skip
     return out
 
@@ -104,6 +109,9 @@
         f"{name} of best": total("served", a, b) / total("best", a, b)
         for name, a, b in (("before", 3, LOST), ("during", LOST, BACK), ("after", BACK, END - 1))
     }
+    for name, key in (("south's users", "s"), ("north's users", "n")):
+        good, bad = total(f"{key} True", LOST + 2, BACK), total(f"{key} False", LOST + 2, BACK)
+        out[f"{name}, during"] = good / max(good + bad, 1.0)
     out["worst second"] = min(s["served"] / s["best"] for s in found[3 : END - 1])
     out["back s"] = next((i - BACK for i in range(BACK, END - 2) if north(i, i + 2) >= 0.9 * usual), END - BACK)
     out["sent over needed"] = (total("north", 3, END) + total("south", 3, END)) / total("needed", 3, END)
