One piece each for a site's room, what room earns at best, and a test's clock; dead state out

A last read of the sites found the room of a site summed three times a look, a site on trial asked for by a copy of `_may`, the greedy bound written in bysite and again in the simulated measurement, the same clock in two tests, and things that nothing read: since when a site is in its state, a window in the status, whether a list was the first, a check that always held. The room is now summed once a look, `best` and `Clock` serve both places, the rest is gone.

--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -154,7 +154,7 @@
         else:
             exchange.respond(404, b"not found; GraphQL is at /graphql\n", b"text/plain")
 
-    def _taken(self, first: bool) -> None:
+    def _taken(self) -> None:
         """A list is in force: what hangs on the whole of it."""
         states = [known.line.state for known in self.directory.known.values()]
         counts = {s.name.lower(): states.count(s) for s in api.NodeState}
--- a/badgerbend/discovery/consul.py
+++ b/badgerbend/discovery/consul.py
@@ -58,7 +58,7 @@
         self.heard_at: float | None = None
         self._call: Call | None = None
         self._taking: Iterator[bool] | None = None  # a list that is being taken
-        self.on_taken: Callable[[bool], None] = lambda first: None  # a list is in force; whether the first
+        self.on_taken: Callable[[], None] = lambda: None  # a list is in force
         self._timer: Timer | None = None
         self._limit: Timer | None = None
 
@@ -160,7 +160,7 @@
         for view in reading.news():
             self.on_view(view)
             yield False
-        self.on_taken(reading.first)
+        self.on_taken()
         self._heard(index if index > self.index else 0)  # an index that went back starts anew
 
     def _heard(self, index: int) -> None:
--- a/badgerbend/sites/presence.py
+++ b/badgerbend/sites/presence.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from enum import Enum
 
@@ -40,7 +39,6 @@
     def __init__(self, rules: Rules, rng: random.Random) -> None:
         self.rules, self.rng = rules, rng
         self.state, self.share, self.until = State.IN, 1.0, 0.0
-        self.since = -math.inf
         self.turns = Fading(rules.fade_ms)
         self.drained, self.kept, self.drain_until = False, 1.0, 0.0  # by hand
         self._good = 0
@@ -57,14 +55,11 @@
         turns = min(max(self.turns.read(now_ms) - 1.0, 0.0), SLOWEST)
         return float(self.rules.step_ms * 2.0**turns * self._chance())
 
-    def _go(self, now_ms: float, state: State) -> None:
-        self.state, self.since = state, now_ms
-
     def out(self, now_ms: float) -> None:
         """The site fails. A turn counts once, not again for a trial that fails."""
         if self.state in (State.IN, State.BACK):
             self.turns.add(now_ms, 1.0)
-        self._go(now_ms, State.OUT)
+        self.state = State.OUT
         self.share = 0.0
         self.until = now_ms + self.hold_ms(now_ms) * self._chance()
 
@@ -82,12 +77,12 @@
                     self.out(now_ms)
             case State.OUT:
                 if listed and now_ms >= self.until:
-                    self._go(now_ms, State.TRIAL)
+                    self.state = State.TRIAL
             case State.TRIAL:
                 if not listed or (failing and in_a_row == 0):
                     self.out(now_ms)
                 elif in_a_row >= self.rules.trials:
-                    self._go(now_ms, State.BACK)
+                    self.state = State.BACK
                     self.share, self._good = self.rules.first, int(good)
                     self.until = now_ms + self._step_ms(now_ms)
             case State.BACK:
@@ -102,7 +97,7 @@
         if enough and well:
             self.share = min(1.0, self.share * GROWTH)
         if self.share >= 1.0:
-            self._go(now_ms, State.IN)
+            self.state = State.IN
         self.until, self._good = now_ms + self._step_ms(now_ms), int(good)
 
     # -- By hand.
--- a/badgerbend/sites/status.py
+++ b/badgerbend/sites/status.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 
-from badgerbend.sites.evidence import LOAD_HALF_MS
 from badgerbend.sites.presence import State
 from badgerbend.sites.rules import OWN
 from badgerbend.sites.tiers import Tiers
@@ -48,5 +47,4 @@
         "spilled_per_s": round(site.spilled.pace(now_ms) * 1000.0, 1),
         "allowed_per_s": None if free else round(site.bucket.pace * 1000.0, 1),
         "failing": len(site.seen.failing),
-        "window_ms": LOAD_HALF_MS,
     }
--- a/badgerbend/sites/tiers.py
+++ b/badgerbend/sites/tiers.py
@@ -50,7 +50,8 @@
     seen: Evidence = field(default_factory=Evidence)
     bucket: Bucket = field(default_factory=Bucket)
     spilled: Fading = field(default_factory=lambda: Fading(LOAD_HALF_MS))
-    warm: float = 0.0  # its room in warm servers of size 1, as of the last look
+    room: float = 0.0  # parts a millisecond it can serve, as of the last look
+    whole: float = 0.0  # and could, with all its servers there and warm
     answers: float = 0.0  # good ends so far
     opened: set[int] = field(default_factory=set)  # servers to which a connection was opened ahead
 
@@ -108,7 +109,7 @@
             return
         at, report = self.rules.util_at, event.report
         load = report[at] if at is not None and len(report) > at and math.isfinite(report[at]) else None
-        site.seen.ended(self.now, key, event.outcome, load, self._missing_ms(site))
+        site.seen.ended(self.now, key, event.outcome, load, missing_ms(site.seen.usual_ms))
         site.answers += event.outcome == api.Outcome.OK
 
     def _view(self, view: api.View) -> None:
@@ -119,19 +120,22 @@
                 self.sites[server.site].seen.failing.pop(server.id, None)
                 self.sites[server.site].opened.discard(server.id)
         self._sound = {}
+        self._rooms()
         self._states()
 
-    def _missing_ms(self, site: Site) -> float:
-        return missing_ms(site.seen.usual_ms)
-
     def _look(self) -> None:
         self._sound = {}
         for site in self.sites:
-            site.seen.miss(self.now, self._missing_ms(site))
+            site.seen.miss(self.now, missing_ms(site.seen.usual_ms))
             site.seen.look(self.now)
+        self._rooms()
         self._own_share()
         self._states()
 
+    def _rooms(self) -> None:
+        for site in self.sites:
+            site.room, site.whole = self.fleet.room(self.now, site.place, site.seen.failing)
+
     def _states(self) -> None:
         for site in self.sites:
             self._presence(site)
@@ -181,12 +185,11 @@
         carries = min(1.0, max(self.carries * FULL / used, LEAST_SHARE))
         demand = self.demand.pace(self.now)
         if used > SATURATED and demand:
-            room, _ = self.fleet.room(self.now, self.own.place, self.own.seen.failing)
-            carries = min(carries, max(FULL * room / self.own.brokers / demand, LEAST_SHARE))
+            carries = min(carries, max(FULL * self.own.room / self.own.brokers / demand, LEAST_SHARE))
         self.carries += (carries - self.carries) * (DAMPING if carries > self.carries else 4 * DAMPING)
 
     def _usual(self, used: float) -> None:
-        room, whole = self.fleet.room(self.now, self.own.place, self.own.seen.failing)
+        room, whole = self.own.room, self.own.whole
         sends = sum(s.seen.sends.pace(self.now) for s in self.sites)
         kept = self.own.seen.sends.pace(self.now) / sends if sends else 1.0
         if self.own.presence.state is State.IN and whole and room >= WHOLE * whole and kept > 0.5:
@@ -196,9 +199,7 @@
     def _limits(self) -> None:
         now, demand = self.now, self.demand.pace(self.now)
         for site in self.sites:
-            presence = site.presence
-            room, _ = self.fleet.room(now, site.place, site.seen.failing)
-            site.warm = room / self.rules.server_pace
+            presence, room = site.presence, site.room
             if presence.state is State.OUT or (presence.drained and site.tier != OWN):
                 pace = 0.0
             elif presence.state is State.TRIAL:
@@ -250,8 +251,7 @@
     def _tries(self, query: api.Query, cls: api.QueryClass) -> bool:
         """Whether a query serves to try a site. Without it a site on trial would get none while all are refused."""
         return cls.effect == "safe" and any(
-            s.presence.state is State.TRIAL and s.bucket.fill(self.now) >= 1.0 and self._listed(s, query.parts[0].shard)
-            for s in self.sites
+            s.presence.state is State.TRIAL and self._may(s, query.parts[0].shard) for s in self.sites
         )
 
     def _fits_all(self) -> bool:
@@ -279,9 +279,8 @@
         if own and self._keeps(shard, safe):
             return own
         for site in self._elsewhere_first(here, shard, safe):
-            if site is not self.own:
-                self._charge = site if self._spills(shard) else None
-                return here[site.place]
+            self._charge = site if self._spills(shard) else None
+            return here[site.place]
         stays = own and self.own.presence.state is State.IN
         return own if stays else here.get(-1, [])
 
@@ -338,7 +337,7 @@
         site = self.sites[server.site] if server is not None and server.site >= 0 else self.own
         if site is self.own and site.presence.state is State.IN:
             return 0.0
-        return site.bucket.pace / site.warm if site.warm else 0.0
+        return site.bucket.pace / (site.room / self.rules.server_pace) if site.room else 0.0
 
     def sent(self, part: int, attempt: int, node: int) -> None:
         server = self.fleet.servers.get(node)
--- a/badgerbend/standin/bysite.py
+++ b/badgerbend/standin/bysite.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -92,14 +93,20 @@
                 second.served += worth(cls, state, line["t"] - ask["t"], share)
     _rooms(out, lines, settings, model, zones, names, began)
     for second, want in zip(out, wants, strict=True):
-        room = sum(s.room for s in second.sites.values())
-        for each in sorted(want, reverse=True):
-            taken = min(want[each], room)
-            room -= taken
-            second.best += taken * each
+        second.best = best(want, sum(s.room for s in second.sites.values()))
     return out
 
 
+def best(wants: Mapping[float, float], room: float) -> float:
+    """What `room` parts can earn at most of the parts wanted, by what one earns: the greatest first."""
+    earned = 0.0
+    for each in sorted(wants, reverse=True):
+        taken = min(wants[each], room)
+        room -= taken
+        earned += taken * each
+    return earned
+
+
 def _rooms(
     out: list[Second], lines: list[Line], settings: Settings, model: Model, zones: dict[str, int],
     names: dict[int, str], began: float,
--- a/benchmarks/sites_simulated.py
+++ b/benchmarks/sites_simulated.py
@@ -27,6 +27,7 @@
 
 from badgerbend.sites.tiers import Tiers  # noqa: E402
 from badgerbend.standin.baseline import Priority, _Unlimited  # noqa: E402
+from badgerbend.standin.bysite import best  # noqa: E402
 
 LOST, BACK, END = 10, 25, 45
 WAYS = {
@@ -75,19 +76,15 @@
         c = SETTINGS.classes[cls]
         wants.setdefault(int(at // 1000), Counter())[c.worth / (c.need * parts)] += c.need * parts
     for second in range(END):
-        at, room, best = first + second, 0.0, 0.0
+        at, room = first + second, 0.0
         for zone in (0, 1):
             up = 0.0 if zone == 0 and LOST <= second < BACK else 1.0
             cold = zone == 0 and BACK <= second < BACK + 5
             warm = 0.25 + 0.75 * (second + 0.5 - BACK) / 5 if cold else 1.0
             room += up * warm * len(world.site(zone)) * PACE * 1000
-        left, want = room, wants.get(at, Counter())
-        for each in sorted(want, reverse=True):
-            taken = min(want[each], left)
-            left -= taken
-            best += taken * each
+        want = wants.get(at, Counter())
         out.append({
-            "served": served[at], "best": best, "needed": sum(want.values()),
+            "served": served[at], "best": best(want, room), "needed": sum(want.values()),
             "spilled": float(world.spilled[1, at]), "limit": world.limit(1, at),
             "north": float(world.own[0, at] + world.spilled[0, at]),
             "south": float(world.own[1, at] + world.spilled[1, at]),
--- a/tests/simsites.py
+++ b/tests/simsites.py
@@ -1,10 +1,10 @@
 """Two sites in simulated time: brokers with the real driver, module and preference, servers with cores and a queue."""
 
-import heapq
 import random
 from collections import Counter, deque
 from dataclasses import replace
 
+from clock import Clock
 from conftest import SETTINGS
 
 from badgerbend import Aggregator, api
@@ -163,11 +163,11 @@
         self.done("failed")
 
 
-class World:
+class World(Clock):
     """make: what gives a broker its preference, of its rules and a seed."""
 
     def __init__(self, seed=1, brokers=(1, 1), servers=8, make=Tiers, **changes):
-        self.now, self.order, self.queue = 1000.0, 0, []
+        super().__init__()
         self.rng = random.Random(seed)
         self.servers = {
             100 * zone + i: Server(self, 100 * zone + i, i % CELLS, zone) for zone in (0, 1) for i in range(servers)
@@ -183,19 +183,7 @@
         which = self.own if broker.home == server.zone else self.spilled
         which[server.zone, int(self.now // 1000)] += 1
 
-    def at(self, when, what):
-        self.order += 1
-        heapq.heappush(self.queue, (when, self.order, what))
-
-    def run(self, span):
-        end = self.now + span
-        while self.queue and self.queue[0][0] <= end:
-            when, _, what = heapq.heappop(self.queue)
-            self.now = max(self.now, when)
-            what()
-        self.now = end
-
-    def tell(self, *nodes):
+    def tell(self):
         """The list, to all brokers."""
         lines = tuple(
             api.NodeLine(
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -1,11 +1,11 @@
 """The driver against a scripted network, in time of the test's own: one final answer a query, one end an attempt."""
 
-import heapq
 import random
 from collections import Counter
 from dataclasses import replace
 
 import pytest
+from clock import Clock
 from conftest import ALL, ANY, KEY, ONCE, SETTINGS, TWO, line
 
 from badgerbend import api
@@ -37,11 +37,12 @@
         self.finals.append((self.rig.now, how))
 
 
-class Rig:
+class Rig(Clock):
     """A clock, a network and an observer. `fate` says how an attempt ends and when, or None for never."""
 
     def __init__(self, fate, seed=1, module=Aggregator, **changes):
-        self.now, self.queue, self.order, self.fate = 1000.0, [], 0, fate
+        super().__init__()
+        self.fate = fate
         self.sent, self.ends, self.troubles, self.live, self.calls = [], Counter(), [], {}, []
         settings = replace(SETTINGS, **changes)
         self.driver = Driver(settings, module(settings, seed), self, self, self, self)
@@ -49,18 +50,6 @@
         self.driver.view(api.View(api.ViewKind.CACHED, lines))
         self.run(1.0)
 
-    def at(self, when, what):
-        self.order += 1
-        heapq.heappush(self.queue, (when, self.order, what))
-
-    def run(self, span):
-        end = self.now + span
-        while self.queue and self.queue[0][0] <= end:
-            when, _, what = heapq.heappop(self.queue)
-            self.now = max(self.now, when)
-            what()
-        self.now = end
-
     # -- Schedule
     def now_ms(self):
         return self.now
