The platform's protocol on sockets: frames to nodes, HTTP in front, the list of members

The platform's software leaves support; the product becomes its broker. New ways in and out over the same driver and module: frames/ (codec, channel, transport), platform/ (names, config, front, tally, service), discovery/members.py. What two lists share went down: directory.py and watch.py, under Consul's and the platform's forms; the reading of settings went to facts.py, for the adapter and the configuration alike.

Seen on the way: version 0 of the list was taken for none, so that the watch asked for the whole list without end and used a whole core; and the transport held the directory's first table of addresses, which each list replaces, so that no part was sent.

--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -11,8 +11,9 @@
 
 from badgerbend import api
 from badgerbend.config.settings import Settings, module_settings
-from badgerbend.discovery.consul import ConsulWatch
-from badgerbend.discovery.lines import Directory
+from badgerbend.discovery.consul import ConsulTarget
+from badgerbend.discovery.lines import consul_directory
+from badgerbend.discovery.watch import Watch
 from badgerbend.graphql.fetch import FetchTransport
 from badgerbend.graphql.front import GraphQLFront
 from badgerbend.graphql.schema import Subgraph, subgraph
@@ -58,7 +59,7 @@
         self.settings, self.loop = settings, loop
         self.log = get(part="broker")
         self.metrics = Metrics(tuple(c.name for c in settings.class_))
-        self.directory = Directory(settings.layout.cells)
+        self.directory = consul_directory(settings.layout.cells)
         self.schedule = LoopSchedule(loop)
         self.pools: dict[int, Pool] = {}
         self.retired: list[Pool] = []  # of servers that left the list, until their last call has ended
@@ -69,8 +70,8 @@
         self.transport = FetchTransport(
             self._pool, lambda *end: self.driver.ended(*end), settings.identity.index, limits.report
         )
-        self.watch = ConsulWatch(
-            settings.discovery, self.directory, loop, self.schedule.now_ms, time.time,
+        self.watch = Watch(
+            ConsulTarget(settings.discovery), self.directory, loop, self.schedule.now_ms, time.time,
             lambda view: self.driver.view(view), self.metrics.trouble,
             settings.seed + settings.identity.index, f"badgerbend/{settings.identity.index}",
         )  # fmt: skip
--- a/badgerbend/discovery/__init__.py
+++ b/badgerbend/discovery/__init__.py
@@ -1,1 +1,1 @@
-"""Where servers are: a client of Consul's health endpoint, and the numbers that the module knows servers by."""
+"""Where servers are: watches on lists of them, and the numbers that the module knows servers by."""
--- /dev/null
+++ b/badgerbend/discovery/directory.py
@@ -0,0 +1,177 @@
+"""Numbers and addresses of servers, whatever lists them, and lists taken in slices. Pure: rows and times in, views out.
+
+A list's own form (`Form`) makes an `Entry` of a row; everything else is the same for all of them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, replace
+from itertools import islice
+from typing import Any
+
+import msgspec
+
+from badgerbend import api
+
+SLICE = 100  # lines read, or told, in one turn of the loop: about a millisecond
+
+
+class ListError(Exception):
+    """The answer is no list of servers."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One row of a list. started: seconds of Unix time, 0 for long ago; a token that changes with each start."""
+
+    name: str
+    address: tuple[str, int]
+    cell: int
+    state: api.NodeState
+    started: float
+    zone: int
+    kind: int
+    size: float
+
+
+Form = Callable[[Any], Entry]  # raises AttributeError, KeyError, TypeError or ValueError for what is no row
+
+
+@dataclass(slots=True)
+class _Known:
+    number: int
+    started: float  # as the list states it
+    started_ms: float  # on this broker's clock; 0: long ago
+    line: api.NodeLine
+    address: tuple[str, int]
+
+
+class Directory:
+    """Numbers and addresses of servers, and what the last list said of each.
+
+    one_clock: all machines read the same clock, so that a start is when the list says it was. Else clocks of others
+    are believed once only: for a server's age when it is first heard of, and never as less than nothing; a start
+    seen later counts from the moment it was seen.
+    """
+
+    def __init__(self, cells: int, form: Form, one_clock: bool = False) -> None:
+        self.cells, self.form, self.one_clock = cells, form, one_clock
+        self.known: dict[str, _Known] = {}
+        self.addresses: dict[int, tuple[str, int]] = {}
+        self.names: dict[int, str] = {}
+        self.next = 1
+        self.told = False  # the module knows all that stands here
+
+    def read(self, rows: Sequence[msgspec.Raw], now_ms: float, unix_s: float) -> tuple[api.View, list[str]]:
+        """A whole list at once, and what was wrong with lines that were left out. Raises ListError.
+
+        An empty list, or one without a single usable line, is an error and not news: a directory that has lost
+        its content says the same, and taking it at its word would stop all service.
+        """
+        reading = Reading(self, rows, now_ms, unix_s)
+        for _ in reading.slices():
+            pass
+        reading.take()
+        self.told = True
+        return api.View(api.ViewKind.FULL, tuple(k.line for k in self.known.values())), reading.wrong
+
+    def _known(self, entry: Entry, now_ms: float, unix_s: float) -> _Known:
+        if not entry.name or not entry.address[0] or not 0 < entry.address[1] < 65536:
+            raise ValueError("no id or no address")
+        if not 0 <= entry.cell < self.cells:
+            raise ValueError(f"cell {entry.cell} is not one of {self.cells}")
+        started = entry.started
+        if not 0 <= started < 1e12 or not 0 < entry.size < 1e9 or not 0 <= entry.zone < 256:
+            raise ValueError("started, size or zone out of range")
+        old = self.known.get(entry.name)
+        if old is None:
+            number, self.next = self.next, self.next + 1
+        else:
+            number = old.number
+        if old is None or (self.one_clock and started != old.started):
+            age_ms = max(unix_s - started, 0.0) * 1000.0
+            started_ms = max(now_ms - age_ms, 0.0) if started else 0.0
+        else:
+            started_ms = old.started_ms if started == old.started else now_ms
+        line = api.NodeLine(number, entry.cell, entry.state, started_ms, entry.zone, entry.kind, entry.size)
+        return _Known(number, started, started_ms, line, entry.address)
+
+
+def listed(body: bytes) -> list[msgspec.Raw]:
+    """A JSON list's rows, unread. Raises ListError."""
+    try:
+        return msgspec.json.decode(body, type=list[msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        raise ListError(f"no list: {err}") from err
+
+
+class Reading:
+    """A list taken in slices, so that one of thousands of servers stops nothing else for long.
+
+    `slices` reads the rows; `take`, once they are through, puts them in force; `news` tells them to the module: the
+    first list whole, since nothing is served before it, as is one after a list that was left half told; later ones as
+    what has changed. Until `take` the directory is as it was: a list that turns out to be none changes nothing.
+    whole: a server that does not stand in the rows has left; else the rows are those that changed.
+    """
+
+    def __init__(
+        self, directory: Directory, rows: Sequence[msgspec.Raw], now_ms: float, unix_s: float, whole: bool = True
+    ) -> None:
+        self.directory, self.rows, self.now_ms, self.unix_s = directory, rows, now_ms, unix_s
+        self.whole = whole
+        self.lines: dict[str, _Known] = {}
+        self.changed: list[api.NodeLine] = []
+        self.wrong: list[str] = []
+        self.first = not directory.told
+
+    def slices(self) -> Iterator[None]:
+        """Reads SLICE rows a step."""
+        rows = enumerate(self.rows)
+        while some := list(islice(rows, SLICE)):
+            for place, row in some:
+                self._row(place, row)
+            yield
+
+    def _row(self, place: int, raw: msgspec.Raw) -> None:
+        directory = self.directory
+        try:
+            entry = directory.form(msgspec.json.decode(raw))
+            known = directory._known(entry, self.now_ms, self.unix_s)
+        except (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError, RecursionError) as err:
+            self.wrong.append(f"line {place}: {type(err).__name__}: {err}")
+            return
+        if entry.name in self.lines:
+            self.wrong.append(f"line {place}: {entry.name} comes twice")
+            return
+        old = directory.known.get(entry.name)
+        if old is None or old.line != known.line:
+            self.changed.append(known.line)
+        self.lines[entry.name] = known
+
+    def take(self) -> None:
+        """Puts the list in force. Raises ListError for a whole one without a usable line."""
+        directory = self.directory
+        if self.whole:
+            if not self.lines:
+                raise ListError(f"no usable line among {len(self.rows)}")
+            left = (known.line for name, known in directory.known.items() if name not in self.lines)
+            self.changed += [replace(line, state=api.NodeState.GONE) for line in left]
+            directory.known = self.lines
+        else:
+            directory.known = {
+                name: known for name, known in (directory.known | self.lines).items()
+                if known.line.state != api.NodeState.GONE or name not in self.lines
+            }  # fmt: skip
+        directory.addresses = {known.number: known.address for known in directory.known.values()}
+        directory.names = {known.number: name for name, known in directory.known.items()}
+        directory.told = False
+
+    def news(self) -> Iterator[api.View]:
+        """What the module is told, a view a step; at least one, since a list was heard."""
+        if self.first:
+            yield api.View(api.ViewKind.FULL, tuple(k.line for k in self.directory.known.values()))
+        else:
+            for at in range(0, max(len(self.changed), 1), SLICE):
+                yield api.View(api.ViewKind.DELTA, tuple(self.changed[at : at + SLICE]))
+        self.directory.told = True
--- /dev/null
+++ b/badgerbend/facts.py
@@ -0,0 +1,152 @@
+"""The platform's settings as the module takes them, for the simulator's wire and for the broker's configuration alike.
+
+Both give the same names and units: the wire as path=value lines, the configuration as nested JSON. Standard library
+only, since the adapter starts without any other.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from badgerbend import api
+
+EFFECTS = {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "unsafe"}
+
+
+class SettingError(Exception):
+    """A setting is missing or malformed."""
+
+
+def parse_facts(text: str) -> dict[str, str]:
+    """Path=value lines as a mapping."""
+    return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+
+def flatten(settings: Mapping[str, object]) -> dict[str, str]:
+    """Nested settings as paths to values: members by name, objects of a list by place, with their `count`.
+
+    A list of plain values is one value, joined by commas. What is null is left out, as if it were not there.
+    """
+    out: dict[str, str] = {}
+
+    def put(path: str, value: object) -> None:
+        if isinstance(value, Mapping):
+            for name, inner in value.items():
+                put(f"{path}.{name}" if path else str(name), inner)
+        elif isinstance(value, list) and all(isinstance(v, Mapping) for v in value):
+            out[f"{path}.count"] = str(len(value))
+            for place, inner in enumerate(value):
+                put(f"{path}.{place}", inner)
+        elif isinstance(value, list):
+            out[path] = ",".join(_plain(v) for v in value)
+        elif value is not None:
+            out[path] = _plain(value)
+
+    put("", settings)
+    return out
+
+
+def _plain(value: object) -> str:
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def read_settings(facts: Mapping[str, str]) -> api.Settings:
+    """The settings that the module takes; unknown keys are skipped, a bad one is named."""
+
+    def number(key: str, low: float = -math.inf) -> float:
+        if key not in facts:
+            raise SettingError(f"setting {key} is missing")
+        try:
+            value = float(facts[key])
+        except ValueError:
+            value = math.nan
+        if not math.isfinite(value) or value < low:
+            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+        return value
+
+    def whole(key: str, low: int = 0) -> int:
+        value = number(key, low)
+        if value != int(value):
+            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+        return int(value)
+
+    def flag(key: str) -> bool:
+        if facts.get(key) not in ("true", "false"):
+            what = f"malformed: {facts[key]!r}" if key in facts else "missing"
+            raise SettingError(f"setting {key} is {what}")
+        return facts[key] == "true"
+
+    def optional(key: str) -> float | None:
+        return number(key, 0.0) if key in facts else None
+
+    def limit(key: str) -> float:
+        return number(key, 0.0) if key in facts else math.inf
+
+    def floats(key: str, count: int) -> list[float]:
+        if key not in facts:
+            raise SettingError(f"setting {key} is missing")
+        try:
+            values = [float(x) for x in facts[key].split(",")]
+        except ValueError:
+            values = []
+        if len(values) != count or not all(math.isfinite(v) and v >= 0 for v in values):
+            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+        return values
+
+    count = whole("categories.count", 1)
+    need, floor = floats("specifics.wholeAt", count), floats("specifics.minShare", count)
+    partial = floats("specifics.classPartial", count) if "specifics.classPartial" in facts else [1.0] * count
+    follow = floats("specifics.followUp", count)
+    classes = []
+    for i in range(count):
+        at = f"categories.{i}."
+        effect = facts.get(at + "idempotency")
+        if effect not in EFFECTS:
+            what = f"malformed: {effect!r}" if effect is not None else "missing"
+            raise SettingError(f"setting {at}idempotency is {what}")
+        classes.append(
+            api.QueryClass(
+                aim_ms=number(at + "aimMs", 0.0),
+                deadline_ms=number(at + "hardLimitMs", 0.0),
+                effect=EFFECTS[effect],
+                repeat_window_ms=number(at + "repeatWindowMs", 0.0) if EFFECTS[effect] == "keyed" else 0.0,
+                late_worth=number(at + "lateValue", 0.0),
+                worth=number(at + "value", 0.0),
+                need=need[i],
+                floor=floor[i],
+                partial=partial[i],
+                second_step=int(follow[i]),
+            )
+        )
+    asked = facts.get("registryMode") == "ask"
+    tenants = whole("tenants.count") if "tenants.count" in facts else 0
+    return api.Settings(
+        classes=tuple(classes),
+        tenants=tuple(api.Tenant(number(f"tenants.{i}.quotaPerS", 0.0)) for i in range(tenants)),
+        broker=whole("me"),
+        brokers=whole("fleetSize", 1),
+        zone=whole("zone"),
+        cells=whole("specifics.sets", 1),
+        reach=whole("specifics.width", 1),
+        parts_per_call=whole("specifics.partsACall", 1),
+        max_attempts=whole("ceilings.maxAttempts", 1),
+        max_open=whole("ceilings.maxOpen", 1),
+        second_copies=flag("ceilings.secondCopies"),
+        cancel=flag("ceilings.cancel"),
+        probing=flag("ceilings.probing"),
+        retry_after=flag("ceilings.retryAfter"),
+        max_retry_after_ms=number("ceilings.maxRetryAfterMs", 0.0),
+        conn_idle_ms=limit("ceilings.connIdleMs"),
+        connect_timeout_ms=limit("ceilings.connectTimeoutMs"),
+        list_by_asking=asked,
+        must_ask_ms=number("obligations.mustAskInMs", 1.0) if asked else math.inf,
+        over_share_worth=number("overShareWorth", 0.0),
+        cold_from=number("obligations.coldFrom", 0.0),
+        cold_ms=number("obligations.coldMs", 0.0),
+        overload_factor=number("obligations.overloadFactor", 0.0),
+        fall_ms=number("obligations.fallMs", 0.0),
+        extra_free=optional("obligations.minExtra"),
+        extra_share=optional("obligations.extraPerRequest"),
+        extra_window_ms=optional("obligations.lookBackMs"),
+    )
--- /dev/null
+++ b/badgerbend/frames/channel.py
@@ -0,0 +1,197 @@
+"""One connection to a node: many parts at once, answered in any order.
+
+What is handed over while the connection is not up, or while the kernel takes no more, waits here and not in a buffer
+beneath: so it is known what was written whole, and what waits can be taken back when the node begins to drain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import Protocol, cast
+
+from badgerbend.api import Outcome
+from badgerbend.frames.codec import Answered, Ask, Decoder, Names, call, frame
+from badgerbend.runtime.ports import Attempt
+
+
+class Owner(Protocol):
+    """What a channel needs of the transport it belongs to."""
+
+    names: Names
+    streams: int
+    max_frame: int
+
+    def ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: bytes) -> None: ...
+
+    def forget(self, channel: Channel) -> None: ...
+
+    def trouble(self, what: str, detail: str) -> None: ...
+
+
+def asked(attempt: Attempt) -> Ask:
+    ask = attempt.plan.payload
+    assert isinstance(ask, Ask)
+    return ask
+
+
+class Channel(asyncio.Protocol):
+    """Made by its transport, which connects it. Times are the loop's, in seconds."""
+
+    def __init__(self, owner: Owner, node: int, loop: asyncio.AbstractEventLoop) -> None:
+        self.owner, self.node, self.loop = owner, node, loop
+        self.transport: asyncio.Transport | None = None
+        self.decoder = Decoder(owner.names, owner.max_frame)
+        self.out: dict[bytes, Attempt] = {}  # written, and waited for
+        self.waiting: list[list[Attempt]] = []  # calls not written yet
+        self.calls_off: OrderedDict[bytes, None] = OrderedDict()  # given up here; their answers may still come
+        self.last_call: list[Attempt] = []  # its last byte may not be written while `blocked`
+        self.blocked = False
+        self.dead = False
+        self.since = loop.time()  # last use
+        self.inside_since: float | None = None  # when the frame that is being read began
+
+    # -- the transport's side
+    def load(self) -> int:
+        """Parts that are out or wait here."""
+        return len(self.out) + sum(map(len, self.waiting))
+
+    def knows(self, part: bytes) -> bool:
+        """Whether a word on an earlier attempt for this part may still come here."""
+        return part in self.out or part in self.calls_off
+
+    def send(self, attempts: Sequence[Attempt]) -> None:
+        """One call. It is written at once if the connection takes it."""
+        self.waiting.append(list(attempts))
+        self._pump()
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Nothing more is told of it. The node hears of it unless it was never sent."""
+        for call_ in self.waiting:
+            if attempt in call_:
+                call_.remove(attempt)
+                if not call_:
+                    self.waiting.remove(call_)
+                return
+        part = asked(attempt).id
+        if self.out.get(part) is attempt:
+            del self.out[part]
+            self.calls_off[part] = None
+            while len(self.calls_off) > 4 * self.owner.streams:
+                self.calls_off.popitem(last=False)
+            self.since = self.loop.time()
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.write(frame(self.owner.names.cancel, part))
+
+    def withdraw(self) -> list[Attempt]:
+        """Takes back what was not begun to be written: the node wants nothing new."""
+        back = [a for call_ in self.waiting for a in call_]
+        self.waiting = []
+        return back
+
+    def idle(self) -> bool:
+        return not self.out and not self.waiting
+
+    def close(self) -> None:
+        """Cuts the connection; what is out on it ends as reset."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def failed_to_connect(self) -> None:
+        self._over(Outcome.CONNECT_FAILED)
+
+    # -- asyncio's side
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.dead:  # given up while it was opening
+            self.transport.abort()
+            return
+        self.transport.set_write_buffer_limits(high=0)  # so that `blocked` says whether bytes are left above the kernel
+        self.since = self.loop.time()
+        self._pump()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self._over(Outcome.RESET)
+
+    def pause_writing(self) -> None:
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        self.blocked, self.last_call = False, []
+        self._pump()
+
+    def data_received(self, data: bytes) -> None:
+        if self.dead:
+            return
+        self.since = self.loop.time()
+        for message in self.decoder.feed(data):
+            if isinstance(message, Answered):
+                if not self._answered(message):
+                    return
+            elif message.letter == self.owner.names.error:
+                self._spoilt(f"the node could not read: {message.words[:80]!r}")
+                return
+            else:
+                self._spoilt("an answer to a probe that was not sent")
+                return
+        if self.decoder.error is not None:
+            self._spoilt(str(self.decoder.error))
+            return
+        if not self.decoder.inside:
+            self.inside_since = None
+        elif self.inside_since is None:
+            self.inside_since = self.since
+
+    def stalled(self, now: float, most_s: float) -> bool:
+        """Gives the connection up if a frame that has begun does not end within `most_s`."""
+        if self.inside_since is not None and now - self.inside_since > most_s and not self.dead:
+            self._spoilt("a frame without an end")
+            return True
+        return False
+
+    # -- inside
+    def _pump(self) -> None:
+        transport = self.transport
+        while self.waiting and transport is not None and not self.blocked and not transport.is_closing():
+            attempts = self.waiting.pop(0)
+            for a in attempts:
+                self.out[asked(a).id] = a
+            self.last_call = attempts
+            self.since = self.loop.time()
+            transport.write(call(self.owner.names, [(asked(a), a.timeout_ms) for a in attempts]))
+
+    def _answered(self, message: Answered) -> bool:
+        attempt = self.out.pop(message.id, None)
+        if attempt is not None:
+            served = message.outcome is Outcome.OK
+            self.owner.ended(attempt, message.outcome, message.value if served else None, message.report)
+            return True
+        if message.id in self.calls_off:
+            del self.calls_off[message.id]
+            return True
+        self._spoilt(f"an answer to nothing: {message.id[:40]!r}")
+        return False
+
+    def _spoilt(self, why: str) -> None:
+        """The connection is of no further use: what is out on it has failed and may have run."""
+        self.owner.trouble("spoilt answer", f"server {self.node}: {why}")
+        self._over(Outcome.ERROR)
+        self.close()
+
+    def _over(self, outcome: Outcome) -> None:
+        if self.dead:
+            return
+        self.dead = True
+        unwritten = set(map(id, self.last_call)) if self.blocked else set()
+        never = [a for call_ in self.waiting for a in call_]
+        never += [a for a in self.out.values() if id(a) in unwritten]
+        rest = [a for a in self.out.values() if id(a) not in unwritten]
+        self.out, self.waiting, self.last_call = {}, [], []
+        self.calls_off.clear()
+        self.owner.forget(self)
+        for a in never:
+            self.owner.ended(a, Outcome.CONNECT_FAILED, None, b"-")
+        for a in rest:
+            self.owner.ended(a, outcome, None, b"-")
--- /dev/null
+++ b/badgerbend/frames/transport.py
@@ -0,0 +1,174 @@
+"""The runtime's `Transport` over channels: which connection a call rides on, and what comes of it.
+
+Which node a part goes to is the module's choice. Here it is only seen to that a connection carries no more parts than
+the settings allow, that none idle for too long is written to, and that nothing waits for a node that drains.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from badgerbend.api import Outcome
+from badgerbend.frames.channel import Channel, asked
+from badgerbend.frames.codec import Names
+from badgerbend.runtime.ports import Attempt
+
+Ended = Callable[[Attempt, Outcome, object, tuple[float, ...]], None]
+IDLE_SHARE = 0.9  # of the time after which the other side may close: what is written then may cross the close
+
+
+@dataclass(frozen=True, slots=True)
+class FrameLimits:
+    """Times in seconds, sizes in bytes."""
+
+    streams: int  # parts at once on a connection
+    connections: int  # in all
+    connect_timeout_s: float
+    idle_s: float
+    stall_s: float  # a frame that has begun ends within this
+    max_frame: int = 65_536
+
+
+class FrameTransport:
+    """`address_of` gives where a node listens, None for one that is not on the list."""
+
+    def __init__(
+        self,
+        names: Names,
+        limits: FrameLimits,
+        address_of: Callable[[int], tuple[str, int] | None],
+        ended: Ended,
+        trouble: Callable[[str, str], None],
+    ) -> None:
+        self.names, self.limits, self.address_of = names, limits, address_of
+        self.streams, self.max_frame = limits.streams, limits.max_frame
+        self.tell, self.trouble = ended, trouble
+        self.loop = asyncio.get_running_loop()
+        self.channels: dict[int, list[Channel]] = {}
+        self.addresses: dict[int, tuple[str, int]] = {}  # that a node's channels were made for
+        self.retired: set[Channel] = set()  # of nodes that moved or left, until their last answer
+        self.open, self.opened, self.cut_off = 0, 0, 0
+        self._connecting: set[asyncio.Task[None]] = set()
+
+    # -- ports.Transport
+    def send(self, node: int, attempts: Sequence[Attempt]) -> None:
+        address = self.address_of(node)
+        if address is None:
+            self._all(attempts, Outcome.MOOT)
+            return
+        if self.addresses.get(node) != address:
+            self._retire(node)
+            self.addresses[node] = address
+        channel = self._channel(node, attempts) or self._open(node, address)
+        if channel is None:
+            self.trouble("no room for connections", f"{self.open} open")
+            self._all(attempts, Outcome.MOOT)
+            return
+        for attempt in attempts:
+            attempt.handle = channel
+        channel.send(attempts)
+
+    def cancel(self, attempt: Attempt) -> None:
+        if isinstance(attempt.handle, Channel):
+            attempt.handle.cancel(attempt)
+
+    def close_idle(self, node: int) -> None:
+        for channel in list(self.channels.get(node, ())):
+            if channel.idle():
+                self._drop(channel)
+
+    # -- the list's side
+    def drains(self, node: int) -> None:
+        """The node wants nothing new: what has not begun to be written to it comes back unsent."""
+        for channel in self.channels.get(node, ()):
+            self._all(channel.withdraw(), Outcome.MOOT)
+
+    def left(self, node: int) -> None:
+        """The node is off the list: its connections end with their last answer."""
+        self.drains(node)
+        self._retire(node)
+
+    def sweep(self, now: float) -> None:
+        """Ends what idled for too long, stalls inside a frame, or waits for nothing more. now: the loop's time."""
+        limits = self.limits
+        for channel in [c for channels in self.channels.values() for c in channels]:
+            if not channel.stalled(now, limits.stall_s) and channel.idle() and self._stale(channel, now):
+                self._drop(channel)
+        for channel in list(self.retired):
+            if not channel.stalled(now, limits.stall_s) and channel.idle():
+                self._drop(channel)
+
+    def close(self) -> None:
+        for channel in [*self.retired, *(c for channels in self.channels.values() for c in channels)]:
+            channel.close()
+        for task in list(self._connecting):
+            task.cancel()
+
+    # -- a channel's side
+    def ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: bytes) -> None:
+        self.tell(attempt, outcome, value, ())
+
+    def forget(self, channel: Channel) -> None:
+        self.open -= 1
+        self.retired.discard(channel)
+        channels = self.channels.get(channel.node)
+        if channels is not None and channel in channels:
+            channels.remove(channel)
+            if not channels:
+                del self.channels[channel.node]
+                self.addresses.pop(channel.node, None)
+
+    # -- inside
+    def _all(self, attempts: Sequence[Attempt], outcome: Outcome) -> None:
+        for attempt in attempts:
+            self.tell(attempt, outcome, None, ())
+
+    def _channel(self, node: int, attempts: Sequence[Attempt]) -> Channel | None:
+        """The first with room, so that the later ones fall idle and end; not one where a word on an earlier attempt
+        for the same part may still come, since both would carry one id."""
+        now, parts = self.loop.time(), [asked(a).id for a in attempts]
+        for channel in list(self.channels.get(node, ())):
+            if channel.idle() and self._stale(channel, now):
+                self._drop(channel)
+            elif channel.load() + len(parts) <= self.streams and not any(map(channel.knows, parts)):
+                return channel
+        return None
+
+    def _stale(self, channel: Channel, now: float) -> bool:
+        return channel.transport is not None and now - channel.since > self.limits.idle_s * IDLE_SHARE
+
+    def _open(self, node: int, address: tuple[str, int]) -> Channel | None:
+        if self.open >= self.limits.connections:
+            idle = [c for channels in self.channels.values() for c in channels if c.idle() and c.transport]
+            if not idle:
+                return None
+            self._drop(min(idle, key=lambda c: c.since))
+        channel = Channel(self, node, self.loop)
+        self.channels.setdefault(node, []).append(channel)
+        self.addresses[node] = address
+        self.open += 1
+        self.opened += 1
+        task = self.loop.create_task(self._connect(channel, address))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+        return channel
+
+    async def _connect(self, channel: Channel, address: tuple[str, int]) -> None:
+        try:
+            async with asyncio.timeout(self.limits.connect_timeout_s):
+                await self.loop.create_connection(lambda: channel, *address)
+        except (OSError, TimeoutError):
+            channel.failed_to_connect()
+
+    def _drop(self, channel: Channel) -> None:
+        if not channel.dead:
+            channel.dead = True
+            self.forget(channel)
+        channel.close()
+
+    def _retire(self, node: int) -> None:
+        for channel in self.channels.pop(node, ()):
+            self.retired.add(channel)
+        self.addresses.pop(node, None)
--- a/badgerbend/peering/service.py
+++ b/badgerbend/peering/service.py
@@ -14,7 +14,7 @@
 
 from badgerbend import api
 from badgerbend.config.settings import Peers, Settings, Snapshot
-from badgerbend.discovery.lines import Directory
+from badgerbend.discovery.directory import Directory
 from badgerbend.knowledge.record import Record, export
 from badgerbend.knowledge.trust import Trust
 from badgerbend.log import get
--- /dev/null
+++ b/badgerbend/platform/config.py
@@ -0,0 +1,148 @@
+"""What a broker is told at its start and at each reload: a JSON file, and variables where the file is silent."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from badgerbend import api
+from badgerbend.discovery.members import parse_address
+from badgerbend.facts import SettingError, flatten, read_settings
+from badgerbend.platform import names
+
+MAX_BYTES = 16_777_216
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """cores: share of one core; memory in megabytes; descriptors a process may hold."""
+
+    cores: float
+    memory_mb: float
+    descriptors: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A broker's configuration, checked. `known`: rows of the list as it was last held, unread."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    known: tuple[msgspec.Raw, ...]
+    settings: api.Settings
+    facts: Mapping[str, str]  # all settings, by path
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    shards: int
+    streams: int  # parts at once on a connection to a node
+
+
+class _Limits(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 1024
+
+
+class _File(msgspec.Struct):
+    settings: dict[str, Any]
+    name: str | None = None
+    listen: str | None = None
+    discovery: str | None = None
+    seed: str = "0"
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    known: dict[str, msgspec.Raw] = {}
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """Reads the file that the environment names. Raises ConfigError, whatever is wrong with it."""
+    path = env.get(f"{names.ENV}_CONFIG")
+    if not path:
+        raise ConfigError(f"{names.ENV}_CONFIG is not set")
+    try:
+        with Path(path).open("rb") as file:
+            raw = file.read(MAX_BYTES + 1)
+    except OSError as err:
+        raise ConfigError(f"{names.ENV}_CONFIG: {err.strerror}: {path}") from err
+    if len(raw) > MAX_BYTES:
+        raise ConfigError(f"{names.ENV}_CONFIG: longer than {MAX_BYTES} bytes")
+    return parse(raw, env)
+
+
+def parse(raw: bytes, env: Mapping[str, str]) -> Config:
+    """The same for the file's bytes."""
+    try:
+        file = msgspec.json.decode(raw, type=_File)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        raise ConfigError(f"the configuration is malformed: {err}") from err
+    facts = flatten(file.settings)
+    try:
+        settings = read_settings(facts)
+    except SettingError as err:
+        raise ConfigError(str(err)) from err
+    limits = Limits(file.limits.cores, file.limits.memory_mb, file.limits.sockets)
+    if not (0 < limits.cores < math.inf and 0 < limits.memory_mb < math.inf and limits.descriptors >= 64):
+        raise ConfigError("limits: cores and memory_mb must be above 0, sockets at least 64")
+    try:
+        seed = int(file.seed, 16)
+    except ValueError as err:
+        raise ConfigError(f"seed is no hexadecimal number: {file.seed!r}") from err
+    return Config(
+        file.name or env.get(f"{names.ENV}_NAME", ""),
+        _address("listen", file.listen or env.get(f"{names.ENV}_LISTEN")),
+        _address("discovery", file.discovery or env.get(f"{names.ENV}_DISCOVERY")),
+        seed, limits, _known(file.known), settings, facts,
+        _named(file.settings, "categories"), _named(file.settings, "tenants"),
+        _words(file.settings, "failureDomains"), _words(file.settings, "kinds"),
+        _count(facts, "specifics.ranges"), _count(facts, "ceilings.streamsPerConn"),
+    )  # fmt: skip
+
+
+def _address(field: str, text: str | None) -> tuple[str, int]:
+    try:
+        return parse_address(text)
+    except ValueError as err:
+        raise ConfigError(f"{field}: {err}") from err
+
+
+def _known(known: Mapping[str, msgspec.Raw]) -> tuple[msgspec.Raw, ...]:
+    rows = known.get(names.MEMBERS.rows)
+    try:
+        return tuple(msgspec.json.decode(rows, type=list[msgspec.Raw])) if rows is not None else ()
+    except msgspec.DecodeError as err:
+        raise ConfigError(f"known.{names.MEMBERS.rows}: {err}") from err
+
+
+def _named(settings: Mapping[str, Any], field: str) -> tuple[str, ...]:
+    rows = settings.get(field, [])
+    found = [row.get("name") if isinstance(row, dict) else None for row in rows] if isinstance(rows, list) else [None]
+    if not all(isinstance(name, str) and name for name in found) or len(set(found)) < len(found):
+        raise ConfigError(f"settings.{field}: each needs a name of its own")
+    return tuple(str(name) for name in found)
+
+
+def _words(settings: Mapping[str, Any], field: str) -> tuple[str, ...]:
+    rows = settings.get(field, [])
+    if not isinstance(rows, list) or not all(isinstance(word, str) for word in rows):
+        raise ConfigError(f"settings.{field}: a list of names is needed")
+    return tuple(rows)
+
+
+def _count(facts: Mapping[str, str], path: str) -> int:
+    text = facts.get(path, "")
+    if not text.isdigit() or not 1 <= int(text) <= 1_000_000:
+        raise ConfigError(f"setting {path} is {'malformed: ' + repr(text) if text else 'missing'}")
+    return int(text)
--- /dev/null
+++ b/badgerbend/platform/service.py
@@ -0,0 +1,179 @@
+"""One broker on the platform: the parts put together, its signals, and how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import math
+import signal
+import time
+from collections.abc import Callable, Mapping
+
+from badgerbend import api
+from badgerbend.discovery.directory import Directory, ListError
+from badgerbend.discovery.members import MembersTarget, form
+from badgerbend.discovery.watch import Watch
+from badgerbend.frames.transport import FrameLimits, FrameTransport
+from badgerbend.logic import Aggregator
+from badgerbend.net.server import HttpServer, ServerLimits
+from badgerbend.platform import names
+from badgerbend.platform.config import Config, ConfigError, load
+from badgerbend.platform.front import Front
+from badgerbend.platform.tally import Tally
+from badgerbend.runtime.driver import Driver
+from badgerbend.runtime.loop import LoopSchedule
+
+MAX_BODY = 65_536  # bytes, of a request, an answer and so a value
+READ_S = 2.0  # a request that has not come whole by then is turned away
+IDLE_S = 5.0  # a connection between requests; a client opens another at little cost
+SWEEP_S = 0.25
+SUMMARY_S = 5.0
+FOR_CLIENTS, FOR_NODES = 0.55, 0.3  # shares of the descriptors; the rest is for list, log, listener and loop
+GRACE_S = 0.7  # new requests still come for so long after the signal to end
+NO_TIMEOUT_S = 10.0  # for a connection to come up, where the settings state no limit
+
+
+class Service:
+    """Built and used on one running loop."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.loop = config, asyncio.get_running_loop()
+        settings = config.settings
+        self.tally = Tally()
+        self.schedule = LoopSchedule(self.loop)
+        self.directory = Directory(settings.cells, form(names.MEMBERS, config.zones, config.kinds), one_clock=True)
+        descriptors = config.limits.descriptors
+        connect_s = settings.connect_timeout_ms / 1000.0
+        connect_s = connect_s if math.isfinite(connect_s) else NO_TIMEOUT_S
+        self.transport = FrameTransport(
+            names.FRAMES,
+            FrameLimits(
+                config.streams, int(descriptors * FOR_NODES), connect_s, settings.conn_idle_ms / 1000.0, connect_s,
+                MAX_BODY,
+            ),
+            lambda node: self.directory.addresses.get(node),
+            lambda *end: self.driver.ended(*end),
+            self.tally.trouble,
+        )
+        target = MembersTarget(names.MEMBERS, config.discovery, settings.list_by_asking)
+        self.watch = Watch(
+            target, self.directory, self.loop, self.schedule.now_ms, time.time, self._view, self.tally.trouble,
+            config.seed, f"badgerbend/{config.name}",
+        )  # fmt: skip
+        module = Aggregator(settings, config.seed)
+        self.driver = Driver(settings, module, self.transport, self.watch, self.schedule, self.tally)
+        self.schedule.turn = self.driver.turn
+        self.front = Front(config, self.driver, lambda: bool(self.directory.known) and not self.ending)
+        self.server = HttpServer(
+            self.front.handle,
+            ServerLimits(
+                max_connections=int(descriptors * FOR_CLIENTS), max_body_bytes=MAX_BODY, read_timeout_s=READ_S,
+                idle_timeout_s=IDLE_S, silent_timeout_s=READ_S,
+            ),
+        )  # fmt: skip
+        self.ending = False
+        self._summary_at = 0.0
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    async def start(self) -> int:
+        """Takes the known list, listens, and begins to watch; returns the port. Raises OSError."""
+        self._take_known()
+        port = await self.server.start(*self.config.listen)
+        if not self.watch.asks:
+            self.watch.follow(True)
+        # a first event, so that the module asks for the list where that is its part, and for its first alarm
+        lines = tuple(k.line for k in self.directory.known.values())
+        self._view(api.View(api.ViewKind.CACHED, lines))
+        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+        self.tally.line("listening", name=self.config.name, port=port, servers=len(lines))
+        return port
+
+    def reload(self, read: Callable[[], Config]) -> None:
+        """Moves to another discovery, as a new configuration names it; one that cannot be used changes nothing."""
+        try:
+            config = read()
+        except ConfigError as err:
+            self.tally.trouble("configuration not taken", str(err))
+            return
+        kept = [
+            field for field, old, new in (
+                ("listen", self.config.listen, config.listen), ("limits", self.config.limits, config.limits),
+                ("settings", self.config.facts, config.facts),
+            ) if old != new
+        ]  # fmt: skip
+        if kept:
+            self.tally.trouble("takes effect at the next start only", ", ".join(kept))
+        self.watch.move(MembersTarget(names.MEMBERS, config.discovery, self.config.settings.list_by_asking))
+        self.tally.line("reloaded", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
+
+    async def end(self) -> int:
+        """Serves what still comes for a while, each answer the last on its connection; then ends what is left within
+        the longest deadline. Returns how many connections were cut with a request held."""
+        self.ending = True
+        self.tally.line("ending", open=len(self.front.open))
+        self.server.shed()
+        await asyncio.sleep(GRACE_S)
+        longest = max((c.deadline_ms for c in self.config.settings.classes), default=0.0)
+        cut = await self.server.close(longest / 1000.0)
+        self.watch.close()
+        self.transport.close()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        self.tally.summary(cut=cut)
+        return cut
+
+    def _take_known(self) -> None:
+        """The list as it was last held: old perhaps, and better than none."""
+        if self.config.known:
+            try:
+                _, wrong = self.directory.read(self.config.known, self.schedule.now_ms(), time.time())
+            except ListError as err:
+                wrong = [str(err)]
+            for problem in wrong[:5]:
+                self.tally.trouble("known list", problem)
+
+    def _view(self, view: api.View) -> None:
+        """News of the list: first to the connections, so that nothing waits on one for a node that drains."""
+        for line in view.lines:
+            if line.state is api.NodeState.DRAINING:
+                self.transport.drains(line.node)
+            elif line.state is api.NodeState.GONE:
+                self.transport.left(line.node)
+        self.driver.view(view)
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        self.transport.sweep(now)
+        if now - self._summary_at >= SUMMARY_S:
+            self._summary_at = now
+            self.tally.summary(
+                open=len(self.front.open), parts=self.driver.open_parts, clients=len(self.server.connections),
+                nodes=self.transport.open, opened=self.transport.opened, rejected=self.front.rejected,
+                turned_away=self.server.turned_away,
+            )  # fmt: skip
+        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+
+def settle_memory() -> None:
+    """Once started: what lives on is left out of collections, which come seldom; few objects here form cycles."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+
+
+async def serve(config: Config, env: Mapping[str, str]) -> int:
+    """Runs until told to end; the process's exit status."""
+    loop = asyncio.get_running_loop()
+    service = Service(config)
+    end = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, end.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: service.reload(lambda: load(env)))
+    try:
+        await service.start()
+    except OSError as err:
+        service.tally.line("cannot listen", field="listen", error=str(err))
+        return 1
+    settle_memory()
+    await end.wait()
+    return 1 if await service.end() else 0
