--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -19,7 +19,8 @@
 
 WAIT_MS = 5_000  # a call waits so long for news: a connection that fell silent is found out soon after
 MAX_BYTES = 4_194_304
-PACE = Pace(first_wait=0.05, most_wait=0.5, changed=0.02)  # well within the time in which the next call goes on with the watch
+# changed: well within the time in which the next call goes on with the watch
+PACE = Pace(first_wait=0.05, most_wait=0.5, changed=0.02)
 
 
 @dataclass(frozen=True, slots=True)
