A broken connection is a death only where the server refuses the next one, or answers late

Parts waited up to 1.5 s for a first attempt while their servers stood idle. Every reset later than 5 ms made its server dead, then cold for the whole warming time (logic.py, _completed: died -> _renew), so that its shards were fed by tokens, and a scout that was reset made all new queries send scouts for 30 s. A network that cuts 3% of the connections midway had every server cold all the time.

Now a reset leaves it open: one part goes at once to tell. An answer to what was sent within 100 ms of the break, to a server that refused none, shows a live process: as warm as before, no query to blame. A refused connection confirms the death, as does an answer to something sent later. A query whose servers' deaths are not sure yet is looked at again before it is ended.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -49,6 +49,7 @@
         self.cold_since, self.tokens, self.tokens_at = -inf, 0.0, 0.0
         self.out: dict[tuple[int, int], float] = {}  # our attempts out: when sent
         self.died_at = inf  # when it first refused or broke connections since it was heard
+        self.refused, self.scouted = False, False  # then: it refused one; a scout was under way there
         self.time, self.time_at = 0.0, -inf  # what a usual part took there lately, and when that was seen
         self.told = False  # others told of its time
         self.link_at = -inf  # last use of our connection; -inf: none, or none to be trusted
@@ -114,7 +115,7 @@
         self.now, self.acts, self.began = now_ms, [], min(self.began, now_ms)
         if self.sites:
             self.sites.hear(now_ms, events)
-        for e in events:
+        for e in sorted(events, key=lambda e: not isinstance(e, api.View)):  # a drain counts at once
             match e:
                 case api.Completed() if (e.part, e.attempt) in self.attempts:
                     self._completed(e)
@@ -165,6 +166,8 @@
 
     def _renew(self, node: _Node, cold_since: float, died_at: float = inf) -> None:  # its past is void
         node.died_at, node.cold_since = died_at, cold_since
+        if died_at == inf:
+            node.refused = node.scouted = False
         node.tokens, node.tokens_at, node.time_at = self.rng.random(), self.now, -inf  # not due all at once
 
     # -- Learning from others. On call: only of servers that this broker has seen nothing of itself.
@@ -397,11 +400,16 @@
         most = 1 if query.scout or any(p.out for p in query.parts) else 2
         return not query.clean and len(query.deaths) >= most
 
+    def _unsure(self, number: int) -> bool:  # whether it died, or only a connection to it
+        node = self.nodes.get(number)
+        return node is not None and not node.refused and self.now - node.died_at < 2 * AGAIN_MS
+
     def _hopeless(self, query: _Query) -> bool:
         """No attempt out or allowed can bring it to the least it may be answered with: it ends at once."""
         cls, undone = query.cls, [p for p in query.parts if not p.done]
         spent = sum(p.weight for p in undone if not p.out and self._spent(p))
         stuck = self._kills(query) and not any(p.out for p in undone)
+        stuck = stuck and not any(self._unsure(n) for n in query.deaths)  # its server may answer yet
         return stuck or spent > 1.0 - min(cls.floor, cls.need if query.step == 1 else 1.0) + ROUNDING
 
     def _try(self, part: _Part) -> bool:
@@ -449,10 +457,14 @@
             self._judge(attempt, lost=True)
         self.record.append((self.now, took, not ok))
         died = e.outcome == Outcome.RESET and e.elapsed_ms > BEGUN_MS  # sooner is as good as refused
-        if ok and node.died_at < inf:  # it is back before the list says so, and cold
-            self._renew(node, node.died_at)
+        if ok and node.died_at < inf:
+            self._heard_again(node, attempt)
         elif died or (failed and not slow_link):
+            tells = died and node.died_at == inf  # one part tells whether it or its connection died
             self._renew(node, node.cold_since, min(node.died_at, self.now))
+            node.tokens = 1.0 if tells else node.tokens
+            node.refused = node.refused or failed
+            self.killing_at = self.now if failed and node.scouted else self.killing_at
         part = self.parts.get(e.part)
         usual = took / (self._late_after(part) / self.late if part and self.late else 1.0)
         if e.outcome in (Outcome.FULL, Outcome.ERROR, Outcome.RESET) or slow_link:  # quick, but not idle
@@ -475,11 +487,23 @@
             self._settle(query)
             return
         if died:
-            self.killing_at = self.now if query.scout and not query.clean else self.killing_at
+            node.scouted = node.scouted or (query.scout and not query.clean)
             query.deaths.add(node.id)
         if (part.out or not self._try(part)) and self._hopeless(query):
             self._end(query, self._give_up(query))
 
+    def _heard_again(self, node: _Node, attempt: _Attempt) -> None:
+        """An answer from a server that broke connections. Sent so soon after the break that nothing can have
+        started again, to one that refused none, it shows that only the connection broke: the server is warm
+        as before, and no query killed it. Harm: one that starts faster is fed as warm until listed."""
+        if node.refused or attempt.sent > node.died_at + AGAIN_MS:  # back before the list says so, and cold
+            self.killing_at = self.now if node.scouted else self.killing_at
+            self._renew(node, node.died_at)
+            return
+        self._renew(node, node.cold_since)
+        for query in self.queries.values():
+            query.deaths.discard(node.id)
+
     # -- Connections. On call: one idle for longer than lately was safe is shut; the part opens another.
     def _idle(self, node: _Node) -> float:
         idle = 0.0 if node.out else self.now - node.link_at
@@ -525,6 +549,8 @@
                                 self.acts.extend([api.Cancel(part.id, n), api.CloseIdle(attempt.node.id)])
                                 del part.out[n]
                         self._try(part)
+                if query.deaths and self._hopeless(query):
+                    self._end(query, self._give_up(query))
 
     # -- Ending queries. On call: one final answer each, in time, and honest.
     def _settle(self, query: _Query) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -183,12 +183,14 @@
     b.learn()
     q, sends = b.query(ALL)
     assert len(killer(b, q, sends)) == 4
+    b.wait(300.0)  # for so long it may have been the connections alone
     assert of(api.Refuse, b.log) == [api.Refuse(q, 0.0)]
     b.log.clear()
     b.do(api.View(api.ViewKind.DELTA, (line(10, 0, started=b.now),)))
     q, sends = b.query(ALL)  # the list shows a restart: one part goes ahead, and no other when it kills
     assert len(of(api.Send, sends)) == 1
     assert len(killer(b, q, sends)) == 1
+    b.wait(300.0)
     assert of(api.Refuse, b.log) == [api.Refuse(q, 0.0)]
 
 
@@ -206,6 +208,72 @@
     assert all(n.died_at == math.inf for n in b.agg.nodes.values())
 
 
+def broken(b, scout=False):
+    """A part whose connection broke midway; the part, its server, and what is sent at once in its place."""
+    ps = (api.Part(9001, 0, 1.0, None),)
+    (first,) = of(api.Send, b.do(api.Query(9000, 999, ALL, 0, 0, 3000.0, scout, None, ps)))
+    b.wait(20.0)
+    b.finish(9001, Outcome.RESET)
+    return first.node
+
+
+def test_a_connection_that_breaks_under_a_part_is_no_death_if_the_server_answers_at_once():
+    # Where the network cut connections midway, each cut made a warm server a cold one for its whole warming time:
+    # its shards' queries waited for tokens until they were refused, with the servers idle.
+    b = Bench(lines=[line(10, 0)], reach=1, cells=1, extra_free=1000.0)
+    b.learn(queries=10)
+    number = broken(b)
+    node = b.agg.nodes[number]
+    assert node.died_at < math.inf
+    b.wait(100.0)  # the next look sends it again, for which one token is there
+    assert b.tries[9001] == 2 and b.sent[9001, 1][1] <= node.died_at + 100.0
+    b.finish(9001, Outcome.OK, 1)
+    assert node.died_at == math.inf and b.agg._warmth(node) == 1.0
+    assert b.agg.killing_at == -math.inf
+    _, sends = b.query(ALL)
+    assert len(of(api.Send, sends)) == 4
+
+
+def test_a_server_that_refuses_after_a_break_is_dead_and_its_query_may_have_killed_it():
+    b = Bench(lines=[line(10, 0), line(11, 0)], reach=1, cells=1, extra_free=1000.0)
+    b.learn(queries=10)
+    number = broken(b, scout=True)
+    assert b.agg.killing_at == -math.inf and 9000 in b.agg.queries  # not known yet
+    ps = tuple(api.Part(9101 + i, 0, 0.25, None) for i in range(4))
+    sends = of(api.Send, b.do(api.Query(9100, 1000, ALL, 0, 0, 3000.0, False, None, ps)))
+    there = [a.part for a in sends if a.node == number]
+    assert there
+    b.finish(there[0], Outcome.CONNECT_FAILED)
+    assert b.agg.killing_at == b.now and b.agg.nodes[number].refused
+    b.wait(100.0)
+    assert of(api.Refuse, b.log) == [api.Refuse(9000, 0.0)]
+
+
+def test_a_server_that_answers_long_after_a_break_was_started_again_and_is_cold():
+    b = Bench(lines=[line(10, 0)], reach=1, cells=1, extra_free=1000.0, max_attempts=50)
+    b.learn(queries=10)
+    number = broken(b)
+    b.finish(9001, Outcome.FULL, 1)
+    b.wait(400.0)
+    node = b.agg.nodes[number]
+    last = b.tries[9001] - 1
+    assert last >= 1 and b.sent[9001, last][1] > node.died_at + 100.0
+    b.finish(9001, Outcome.OK, last)
+    assert node.died_at == math.inf and b.agg._warmth(node) < 0.3
+
+
+def test_news_of_a_drain_counts_for_all_that_is_decided_in_its_step():
+    b = Bench(lines=[line(10, 0), line(11, 0)], reach=1, cells=1, extra_free=1000.0)
+    b.learn(queries=10)
+    _, sends = b.query(ALL, parts=1)
+    (first,) = of(api.Send, sends)
+    b.wait(20.0)
+    other = 21 - first.node
+    failed = api.Completed(first.part, 0, first.node, Outcome.ERROR, 20.0, ())
+    news = api.View(api.ViewKind.DELTA, (line(other, 0, api.NodeState.DRAINING),))
+    assert all(a.node != other for a in of(api.Send, b.do(failed, news)))
+
+
 def test_a_repeat_sends_a_scout_and_the_rest_when_it_is_answered():
     b = Bench()
     b.learn()
