--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -150,8 +150,8 @@
             self._summary_at = now
             self.tally.summary(
                 self.directory.names, open=len(self.front.open), parts=self.driver.open_parts,
-                clients=len(self.server.connections), nodes=self.transport.open, opened=self.transport.opened, rejected=self.front.rejected,
-                turned_away=self.server.turned_away,
+                clients=len(self.server.connections), nodes=self.transport.open, opened=self.transport.opened,
+                rejected=self.front.rejected, turned_away=self.server.turned_away,
             )  # fmt: skip
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
