--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -352,7 +352,7 @@
     total, answered = len(world.ends), world.how("whole")
     assert answered / total > 0.97
     after = world.how("whole", "refused", "failed", "part", since=9000.0)
-    assert world.how("whole", since=9000.0) >= 0.995 * after  # 32 seeds: none to 6 of 1600, at the return of cold servers
+    assert world.how("whole", since=9000.0) >= 0.995 * after  # over 32 seeds: none to 6 of 1600
     shares = [world.own[0, s] / LOAD / 4 for s in range(17, 29)]
     assert shares[0] < 0.4 and shares[-1] > 0.7  # from the trial to all
     assert all(b.tiers.own.presence.state is State.IN for b in world.brokers)
