With many connections open each answer is the last on its own; ended requests leave no cycles

A probe wrote down each client connection with what came and went on it: every request that arrived was answered 200; hundreds of clients ask once and keep their connection for good, so arrivals stood at 35 to 60 in half a second where 125 were offered: as many as connections were closed for being idle (2 s). Clients as a whole hold a third of the descriptors at most, and those who waited found none free (net/server.write_answer kept every connection up to the limit of 55%). Ruled out: evictions of connections that had something to say (none), refusals by the module (none), no room (none).

Now beyond a fifth of the descriptors an answer says Connection: close.

Requests and connections were cycles (exchange and sink, connection and parser, query and parts) that waited for a collection of the oldest generation; they are broken at their end now, and a test counts what is left without a collector.

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -585,6 +585,7 @@
         self.acts.extend([last] if last else [])
         self._drop_parts(query)
         del self.queries[query.id], self.by_number[query.number]
+        query.parts, query.held = [], []  # they point back: else each query waits for the garbage collector
 
     def _drop_parts(self, query: _Query) -> None:
         for part in query.parts:
--- a/badgerbend/net/client.py
+++ b/badgerbend/net/client.py
@@ -158,6 +158,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        del self.parser  # it points back here: else each connection waits for the garbage collector
         self.pool.open.discard(self)
         if self in self.pool.idle:
             self.pool.idle.remove(self)
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -32,6 +32,7 @@
     read_timeout_s: float = 10.0  # for one request to arrive; the first counts from the connection's start
     idle_timeout_s: float = 75.0  # between requests
     silent_timeout_s: float = 75.0  # before the first one has begun
+    max_kept: int = 10_000  # with more connections open, each answer is the last on its own
 
 
 class Exchange:
@@ -168,6 +169,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.forget(self)
         self.transport = None
+        del self.parser  # it points back here: else each connection waits for the garbage collector
         lost, self.active = [*([self.active] if self.active else []), *self.waiting], None
         self.waiting.clear()
         for exchange in lost:
@@ -261,7 +263,8 @@
         transport = self.transport
         if transport is None:
             return
-        ending = self.server.closing or self.refusing
+        crowded = len(self.server.connections) > self.server.limits.max_kept
+        ending = self.server.closing or self.refusing or crowded
         keep = exchange.keep_alive and (not ending or bool(self.waiting))
         head = [b"HTTP/1.1 %d %s\r\ncontent-length: %d\r\n" % (status, REASONS.get(status, b"-"), len(body))]
         if content_type:
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -163,12 +163,14 @@
         self._end(502, b"failed; parts of it may have run\n", TEXT)
 
     def gone(self) -> None:
+        self.exchange.on_gone = None
         self.front.open.pop(self.request, None)
         if self.query_id is not None:
             self.front.driver.gone(self.query_id)
 
     def _end(self, status: int, body: bytes, kind: bytes, extra: Sequence[tuple[bytes, bytes]] = ()) -> None:
         self.front.open.pop(self.request, None)
+        self.exchange.on_gone = None  # it points back here: else each request waits for the garbage collector
         self.exchange.respond(status, body, kind, tuple(extra))
 
 
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -29,6 +29,7 @@
 SWEEP_S = 0.25
 SUMMARY_S = 5.0
 FOR_CLIENTS, FOR_NODES = 0.55, 0.3  # shares of the descriptors; the rest is for list, log, listener and loop
+FOR_KEPT = 0.2  # of them: well under the third that clients hold at most, or those who wait find none free
 GRACE_S = 0.65  # requests are taken for so long after the signal to end; what comes 0.7 s after it is owed no more
 NO_TIMEOUT_S = 10.0  # for a connection to come up, where the settings state no limit
 
@@ -67,8 +68,8 @@
         self.server = HttpServer(
             self.front.handle,
             ServerLimits(
-                max_connections=int(descriptors * FOR_CLIENTS), max_body_bytes=MAX_BODY, read_timeout_s=READ_S,
-                idle_timeout_s=IDLE_S, silent_timeout_s=READ_S,
+                max_connections=int(descriptors * FOR_CLIENTS), max_kept=int(descriptors * FOR_KEPT),
+                max_body_bytes=MAX_BODY, read_timeout_s=READ_S, idle_timeout_s=IDLE_S, silent_timeout_s=READ_S,
             ),
         )  # fmt: skip
         self.ending = False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,11 +1,13 @@
 """The platform's broker among stand-ins on loopback: clients, nodes, the list, signals, long life."""
 
 import asyncio
+import gc
 import os
 import signal
 import subprocess
 import sys
 import time
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 
@@ -327,6 +329,32 @@
     run(main)
 
 
+def test_clients_that_ask_once_and_keep_their_connections_leave_room_for_others():
+    """Each of many clients asked once and held its connection for good: the rest found none free until the broker
+    closed some for being idle, seconds later."""
+
+    async def main():
+        async with Stage() as s:
+            kept = s.service.server.limits.max_kept
+            assert kept < s.config.limits.descriptors / 3
+            held, closed = [], 0
+            for _ in range(kept + 20):
+                reader, writer = await asyncio.open_connection("127.0.0.1", s.port)
+                writer.write(s.head(query((1,))))
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                assert b" 200 " in head
+                await reader.readexactly(int(head.split(b"content-length: ")[1].split(b"\r")[0]))
+                if b"connection: close" in head:
+                    closed += 1
+                    assert await reader.read() == b""
+                held.append(writer)
+            assert closed == 20 and len(s.service.server.connections) <= kept + 1
+            for writer in held:
+                writer.close()
+
+    run(main)
+
+
 # -- nodes
 
 
@@ -654,3 +682,33 @@
             assert len(nodes) <= 2 * CELLS and len(service.driver._due) <= due + 1000
 
     run(main)
+
+
+def test_requests_and_connections_need_no_garbage_collector():
+    """Each request, and each connection, was a cycle that stayed until a collection of the oldest generation."""
+
+    async def main():
+        async with Stage() as s:
+            kinds = {"_Pending", "Exchange", "_Query", "_Connection", "Channel"}
+
+            def alive():
+                return Counter(type(o).__name__ for o in gc.get_objects() if type(o).__name__ in kinds)
+
+            async def asked():
+                for _ in range(5):
+                    assert (await s.ask((1, 2, 3), Connection="close"))[0] == 200
+                await until(lambda: not s.service.server.connections)
+                await asyncio.sleep(0.05)
+
+            await asked()
+            gc.collect()
+            gc.disable()
+            try:
+                before = alive()
+                await asked()
+                after = alive()
+            finally:
+                gc.enable()
+            assert after - before <= Counter(Channel=CELLS * 2)
+
+    run(main)
