--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -489,7 +489,9 @@
         if died:
             node.scouted = node.scouted or (query.scout and not query.clean)
             query.deaths.add(node.id)
-        if (part.out or not self._try(part)) and self._hopeless(query):
+        if e.outcome == Outcome.FULL and part.tries > 1 and not self._spent(part):
+            query.look_at = min(query.look_at, self.now + TICK_MS)  # at once it finds the same queues full
+        elif (part.out or not self._try(part)) and self._hopeless(query):
             self._end(query, self._give_up(query))
 
     def _heard_again(self, node: _Node, attempt: _Attempt) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -208,6 +208,21 @@
     assert all(n.died_at == math.inf for n in b.agg.nodes.values())
 
 
+def test_a_part_turned_away_twice_waits_a_tick_and_does_not_spend_its_tries_on_full_queues():
+    # Near capacity both holders of a shard were full at one moment: all four tries went in a few milliseconds, and
+    # the query was refused, where a queue has room again a few milliseconds later.
+    b = Bench(lines=[line(10, 0), line(11, 0)], reach=1, cells=1, extra_free=1000.0)
+    b.learn(queries=10)
+    _, sends = b.query(ALL, parts=1)
+    part = of(api.Send, sends)[0].part
+    assert of(api.Send, b.finish(part, Outcome.FULL, 0))  # the other holder at once
+    b.wait(2.0)
+    assert not of(api.Send, b.finish(part, Outcome.FULL, 1)) and not of(api.Refuse, b.log)
+    assert [a.part for a in of(api.Send, b.wait(40.0))] == [part]
+    b.finish(part, Outcome.OK, 2)
+    assert of(api.Answer, b.log)
+
+
 def broken(b, scout=False):
     """A part whose connection broke midway; the part, its server, and what is sent at once in its place."""
     ps = (api.Part(9001, 0, 1.0, None),)
