One piece each for a setting's complaint, a dropped connection and a list in force

Read over once more; behaviour stays, but for two states that were stale for a moment (below).

- config: the limits as read and as used were two classes with the same fields; one now. facts.unfit says missing or malformed for the settings' readers and the configuration, which wrote it six times.
- frames: Channel.drop ends an idle connection over _over, where the transport set the channel's state from outside; one walk over the connections in use; a report that was handed up and dropped is not handed up; a counter nobody set is gone.
The address of a node is noted when a connection to it is opened, and no longer for a call that found no room.
- front: the sink's id as the driver returns it, the server's own type for headers.
Tests share one until.

--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -74,7 +74,6 @@
 class MembersTarget:
     """`Target` of a watch on the agent at `address`. Versions it gives are handed back as they came."""
 
-    asks = False
     max_bytes = MAX_BYTES
     longest_s = WAIT_MS / 1000.0
     pace = PACE
--- a/badgerbend/facts.py
+++ b/badgerbend/facts.py
@@ -51,30 +51,34 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
+def unfit(facts: Mapping[str, str], key: str) -> SettingError:
+    """What to raise for a setting that is missing or, if it is there, malformed."""
+    return SettingError(f"setting {key} is {f'malformed: {facts[key]!r}' if key in facts else 'missing'}")
+
+
 def read_settings(facts: Mapping[str, str]) -> api.Settings:
     """The settings that the module takes; unknown keys are skipped, a bad one is named."""
 
     def number(key: str, low: float = -math.inf) -> float:
         if key not in facts:
-            raise SettingError(f"setting {key} is missing")
+            raise unfit(facts, key)
         try:
             value = float(facts[key])
         except ValueError:
             value = math.nan
         if not math.isfinite(value) or value < low:
-            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+            raise unfit(facts, key)
         return value
 
     def whole(key: str, low: int = 0) -> int:
         value = number(key, low)
         if value != int(value):
-            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+            raise unfit(facts, key)
         return int(value)
 
     def flag(key: str) -> bool:
         if facts.get(key) not in ("true", "false"):
-            what = f"malformed: {facts[key]!r}" if key in facts else "missing"
-            raise SettingError(f"setting {key} is {what}")
+            raise unfit(facts, key)
         return facts[key] == "true"
 
     def optional(key: str) -> float | None:
@@ -85,13 +89,13 @@
 
     def floats(key: str, count: int) -> list[float]:
         if key not in facts:
-            raise SettingError(f"setting {key} is missing")
+            raise unfit(facts, key)
         try:
             values = [float(x) for x in facts[key].split(",")]
         except ValueError:
             values = []
         if len(values) != count or not all(math.isfinite(v) and v >= 0 for v in values):
-            raise SettingError(f"setting {key} is malformed: {facts[key]!r}")
+            raise unfit(facts, key)
         return values
 
     count = whole("categories.count", 1)
@@ -103,8 +107,7 @@
         at = f"categories.{i}."
         effect = facts.get(at + "idempotency")
         if effect not in EFFECTS:
-            what = f"malformed: {effect!r}" if effect is not None else "missing"
-            raise SettingError(f"setting {at}idempotency is {what}")
+            raise unfit(facts, at + "idempotency")
         classes.append(
             api.QueryClass(
                 aim_ms=number(at + "aimMs", 0.0),
--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -23,7 +23,7 @@
     streams: int
     max_frame: int
 
-    def ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: bytes) -> None: ...
+    def ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None) -> None: ...
 
     def forget(self, channel: Channel) -> None: ...
 
@@ -98,6 +98,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def drop(self) -> None:
+        """Ends an idle connection, also one that is not up yet; the transport forgets it at once."""
+        self._over(Outcome.RESET)
+        self.close()
+
     def failed_to_connect(self) -> None:
         self._over(Outcome.CONNECT_FAILED)
 
@@ -166,7 +171,7 @@
         attempt = self.out.pop(message.id, None)
         if attempt is not None:
             served = message.outcome is Outcome.OK
-            self.owner.ended(attempt, message.outcome, message.value if served else None, message.report)
+            self.owner.ended(attempt, message.outcome, message.value if served else None)
             return True
         if message.id in self.calls_off:
             del self.calls_off[message.id]
@@ -185,13 +190,13 @@
             return
         self.dead = True
         unwritten = set(map(id, self.last_call)) if self.blocked else set()
-        never = [a for call_ in self.waiting for a in call_]
+        never = self.withdraw()
         never += [a for a in self.out.values() if id(a) in unwritten]
         rest = [a for a in self.out.values() if id(a) not in unwritten]
-        self.out, self.waiting, self.last_call = {}, [], []
+        self.out, self.last_call = {}, []
         self.calls_off.clear()
         self.owner.forget(self)
         for a in never:
-            self.owner.ended(a, Outcome.CONNECT_FAILED, None, b"-")
+            self.owner.ended(a, Outcome.CONNECT_FAILED, None)
         for a in rest:
-            self.owner.ended(a, outcome, None, b"-")
+            self.owner.ended(a, outcome, None)
--- a/badgerbend/frames/transport.py
+++ b/badgerbend/frames/transport.py
@@ -49,7 +49,7 @@
         self.channels: dict[int, list[Channel]] = {}
         self.addresses: dict[int, tuple[str, int]] = {}  # that a node's channels were made for
         self.retired: set[Channel] = set()  # of nodes that moved or left, until their last answer
-        self.open, self.opened, self.cut_off = 0, 0, 0
+        self.open, self.opened = 0, 0
         self._connecting: set[asyncio.Task[None]] = set()
 
     # -- ports.Transport
@@ -60,7 +60,6 @@
             return
         if self.addresses.get(node) != address:
             self._retire(node)
-            self.addresses[node] = address
         channel = self._channel(node, attempts) or self._open(node, address)
         if channel is None:
             self.trouble("no room for connections", f"{self.open} open")
@@ -77,7 +76,7 @@
     def close_idle(self, node: int) -> None:
         for channel in list(self.channels.get(node, ())):
             if channel.idle():
-                self._drop(channel)
+                channel.drop()
 
     # -- the list's side
     def drains(self, node: int) -> None:
@@ -92,22 +91,19 @@
 
     def sweep(self, now: float) -> None:
         """Ends what idled for too long, stalls inside a frame, or waits for nothing more. now: the loop's time."""
-        limits = self.limits
-        for channel in [c for channels in self.channels.values() for c in channels]:
-            if not channel.stalled(now, limits.stall_s) and channel.idle() and self._stale(channel, now):
-                self._drop(channel)
-        for channel in list(self.retired):
-            if not channel.stalled(now, limits.stall_s) and channel.idle():
-                self._drop(channel)
+        for channel in [*self._in_use(), *self.retired]:
+            needless = channel.idle() and (channel in self.retired or self._stale(channel, now))
+            if not channel.stalled(now, self.limits.stall_s) and needless:
+                channel.drop()
 
     def close(self) -> None:
-        for channel in [*self.retired, *(c for channels in self.channels.values() for c in channels)]:
+        for channel in [*self._in_use(), *self.retired]:
             channel.close()
         for task in list(self._connecting):
             task.cancel()
 
     # -- a channel's side
-    def ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None, report: bytes) -> None:
+    def ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None) -> None:
         self.tell(attempt, outcome, value, ())
 
     def forget(self, channel: Channel) -> None:
@@ -121,9 +117,12 @@
                 self.addresses.pop(channel.node, None)
 
     # -- inside
+    def _in_use(self) -> list[Channel]:
+        return [channel for channels in self.channels.values() for channel in channels]
+
     def _all(self, attempts: Sequence[Attempt], outcome: Outcome) -> None:
         for attempt in attempts:
-            self.tell(attempt, outcome, None, ())
+            self.ended(attempt, outcome, None)
 
     def _channel(self, node: int, attempts: Sequence[Attempt]) -> Channel | None:
         """The first with room, so that the later ones fall idle and end; not one where a word on an earlier attempt
@@ -131,7 +130,7 @@
         now, parts = self.loop.time(), [asked(a).id for a in attempts]
         for channel in list(self.channels.get(node, ())):
             if channel.idle() and self._stale(channel, now):
-                self._drop(channel)
+                channel.drop()
             elif channel.load() + len(parts) <= self.streams and not any(map(channel.knows, parts)):
                 return channel
         return None
@@ -141,10 +140,10 @@
 
     def _open(self, node: int, address: tuple[str, int]) -> Channel | None:
         if self.open >= self.limits.connections:
-            idle = [c for channels in self.channels.values() for c in channels if c.idle() and c.transport]
+            idle = [c for c in self._in_use() if c.idle() and c.transport]
             if not idle:
                 return None
-            self._drop(min(idle, key=lambda c: c.since))
+            min(idle, key=lambda c: c.since).drop()
         channel = Channel(self, node, self.loop)
         self.channels.setdefault(node, []).append(channel)
         self.addresses[node] = address
@@ -162,12 +161,6 @@
         except (OSError, TimeoutError):
             channel.failed_to_connect()
 
-    def _drop(self, channel: Channel) -> None:
-        if not channel.dead:
-            channel.dead = True
-            self.forget(channel)
-        channel.close()
-
     def _retire(self, node: int) -> None:
         for channel in self.channels.pop(node, ()):
             self.retired.add(channel)
--- a/badgerbend/platform/config.py
+++ b/badgerbend/platform/config.py
@@ -12,7 +12,7 @@
 
 from badgerbend import api
 from badgerbend.discovery.members import parse_address
-from badgerbend.facts import SettingError, flatten, read_settings
+from badgerbend.facts import SettingError, flatten, read_settings, unfit
 from badgerbend.platform import names
 
 MAX_BYTES = 16_777_216
@@ -22,13 +22,12 @@
     """The configuration cannot be used; the text names the field."""
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(msgspec.Struct, frozen=True, rename={"descriptors": "sockets"}):
     """cores: share of one core; memory in megabytes; descriptors a process may hold."""
 
-    cores: float
-    memory_mb: float
-    descriptors: int
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    descriptors: int = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,19 +50,13 @@
     streams: int  # parts at once on a connection to a node
 
 
-class _Limits(msgspec.Struct):
-    cores: float = 1.0
-    memory_mb: float = 192.0
-    sockets: int = 1024
-
-
 class _File(msgspec.Struct):
     settings: dict[str, Any]
     name: str | None = None
     listen: str | None = None
     discovery: str | None = None
     seed: str = "0"
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    limits: Limits = msgspec.field(default_factory=Limits)
     known: dict[str, msgspec.Raw] = {}
 
 
@@ -93,7 +86,7 @@
         settings = read_settings(facts)
     except SettingError as err:
         raise ConfigError(str(err)) from err
-    limits = Limits(file.limits.cores, file.limits.memory_mb, file.limits.sockets)
+    limits = file.limits
     if not (0 < limits.cores < math.inf and 0 < limits.memory_mb < math.inf and limits.descriptors >= 64):
         raise ConfigError("limits: cores and memory_mb must be above 0, sockets at least 64")
     try:
@@ -144,5 +137,5 @@
 def _count(facts: Mapping[str, str], path: str) -> int:
     text = facts.get(path, "")
     if not text.isdigit() or not 1 <= int(text) <= 1_000_000:
-        raise ConfigError(f"setting {path} is {'malformed: ' + repr(text) if text else 'missing'}")
+        raise ConfigError(str(unfit(facts, path)))
     return int(text)
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from badgerbend.frames.codec import Ask
-from badgerbend.net.server import Exchange
+from badgerbend.net.server import Exchange, Headers
 from badgerbend.platform import names
 from badgerbend.platform.config import Config
 from badgerbend.runtime.driver import Driver
@@ -76,9 +76,7 @@
             return
         pending = self.open[request] = _Pending(self, request, exchange)
         exchange.on_gone = pending.gone
-        query_id = self.driver.submit(plan, pending)
-        if query_id is not None:
-            pending.query_id = query_id
+        pending.query_id = self.driver.submit(plan, pending)
 
     def read(self, exchange: Exchange) -> tuple[bytes, QueryPlan]:
         """A request's id and query. Raises Rejected."""
@@ -168,10 +166,10 @@
         if self.query_id is not None:
             self.front.driver.gone(self.query_id)
 
-    def _end(self, status: int, body: bytes, kind: bytes, extra: Sequence[tuple[bytes, bytes]] = ()) -> None:
+    def _end(self, status: int, body: bytes, kind: bytes, extra: Headers = ()) -> None:
         self.front.open.pop(self.request, None)
         self.exchange.on_gone = None  # it points back here: else each request waits for the garbage collector
-        self.exchange.respond(status, body, kind, tuple(extra))
+        self.exchange.respond(status, body, kind, extra)
 
 
 def _text(value: object) -> bytes:
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -61,6 +61,7 @@
             target, self.directory, self.loop, self.schedule.now_ms, time.time, self._view, self.tally.trouble,
             config.seed, f"badgerbend/{config.name}",
         )  # fmt: skip
+        self.watch.on_taken = self._taken
         module = Aggregator(settings, config.seed)
         self.driver = Driver(settings, module, self.transport, self.watch, self.schedule, self.tally)
         self.schedule.turn = self.driver.turn
@@ -80,8 +81,7 @@
         """Takes the known list, listens, and begins to watch; returns the port. Raises OSError."""
         self._take_known()
         port = await self.server.start(*self.config.listen)
-        if not self.watch.asks:
-            self.watch.follow(True)
+        self.watch.start()
         # a first event, so that the module asks for the list where that is its part, and for its first alarm
         lines = tuple(k.line for k in self.directory.known.values())
         self._view(api.View(api.ViewKind.CACHED, lines))
@@ -142,10 +142,13 @@
                 self.transport.left(line.node)
         self.driver.view(view)
 
+    def _taken(self) -> None:
+        """A list is in force; one told whole names only those that are on it."""
+        for node in [n for n in self.transport.channels if n not in self.directory.addresses]:
+            self.transport.left(node)
+
     def _sweep(self) -> None:
         now = self.loop.time()
-        for node in [n for n in self.transport.channels if n not in self.directory.addresses]:
-            self.transport.left(node)  # a list heard anew names only those that are on it
         self.transport.sweep(now)
         if now - self._summary_at >= SUMMARY_S:
             self._summary_at = now
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -12,6 +12,7 @@
 from badgerbend.standin.agent import Agent
 from badgerbend.standin.client import LIMITS
 from badgerbend.standin.framenode import FrameNode
+from tests.sockets import until
 
 CELLS, SHARDS = 3, 18
 SETTINGS = {
@@ -47,11 +48,6 @@
     return asyncio.run(limited())
 
 
-async def until(holds):
-    while not holds():
-        await asyncio.sleep(0.002)
-
-
 def file_of(agent_port, known=None, listen=0, **changes):
     """A configuration file's bytes; listen 0 cannot stand in one, so the service is told apart."""
     settings = msgspec.json.decode(msgspec.json.encode(SETTINGS))
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -13,7 +13,8 @@
 from badgerbend.platform.names import FRAMES
 from badgerbend.runtime.ports import Attempt, PartPlan
 from badgerbend.standin.framenode import FrameNode, Part
-from tests.platform_stage import run, until
+from tests.platform_stage import run
+from tests.sockets import until
 
 MOST = 65_536
 
@@ -111,7 +112,7 @@
     def __init__(self):
         self.ends, self.troubles, self.forgotten = [], [], []
 
-    def ended(self, attempt, outcome, value, report):
+    def ended(self, attempt, outcome, value):
         self.ends.append((attempt.plan.payload.id, outcome, value))
 
     def forget(self, channel):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,8 @@
 from badgerbend.platform import config
 from badgerbend.standin.agent import Agent
 from badgerbend.standin.framenode import FrameNode
-from tests.platform_stage import CELLS, SHARDS, Stage, file_of, query, run, until
+from tests.platform_stage import CELLS, SHARDS, Stage, file_of, query, run
+from tests.sockets import until
 
 ROOT = Path(__file__).parent.parent
 
@@ -541,7 +542,7 @@
             assert [v["kind"] for w, v in s.troubles if w == "trouble"] == ["configuration not taken"]
             s.agent.put("s0", s.nodes["s0"].port, 0, "draining")
             await until(lambda: s.service.directory.known["s0"].line.state is api.NodeState.DRAINING)
-            other = replace(s.config, limits=replace(s.config.limits, cores=0.5))
+            other = replace(s.config, limits=msgspec.structs.replace(s.config.limits, cores=0.5))
             s.service.reload(lambda: other)
             assert s.troubles[-2][1] == {"kind": "takes effect at the next start only", "detail": "limits"}
 
