Refusals tell their reason in the log; a test confines run as the platform's filter does

Need: a refused or failed request could not be followed, and a summary could not say whether the module foresaw lateness, ran out of attempts or saw servers die under it. Refuse and Fail carry the module's word, the driver hands it with the attempts lost to the observer as one Ending, and the platform's log has a line for each bad end by the request's id (20 a second at most) and counts by class, ending and reason in its summary.

What the platform refuses (fork, other programs, Unix sockets, io_uring, sendfile, splice, writing files) is held by a test that runs the broker under a filter which kills it for any of them, as an ordinary user where the test may become one; each rule of the filter is shown to kill. Seen: it starts, serves, loses a server, reloads and ends under it, so the deploy file needs no change: one process by exec, no resolver thread (addresses are numeric), asyncio's self-pipe is a socket pair and no Unix socket to connect to, compileall in the build.

--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Protocol
 
@@ -230,11 +230,13 @@
 class Refuse:
     query: int
     retry_after_ms: float
+    why: str = field(default="", compare=False)  # for the log; nothing rests on it
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
     query: int
+    why: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -328,7 +328,7 @@
         fewest = query.fewest(cls.need)
         barred = self.sites and not self.sites.takes(e, over, fewest)
         if not query.parts or barred or self._foreseen(query) >= min(most, query.end_at - self.now):
-            self._end(query, self._give_up(query))
+            self._end(query, self._give_up(query, "no site takes it" if barred else "foreseen to be late"))
             return
         query.wanted = self._redundancy(fewest, len(query.parts))
         query.scout = e.is_retry or self.now - self.killing_at < DEATHS_MS
@@ -492,7 +492,7 @@
         if e.outcome == Outcome.FULL and part.tries > 1 and not self._spent(part):
             query.look_at = min(query.look_at, self.now + TICK_MS)  # at once it finds the same queues full
         elif (part.out or not self._try(part)) and self._hopeless(query):
-            self._end(query, self._give_up(query))
+            self._end(query, self._give_up(query, "no attempt is left"))
 
     def _heard_again(self, node: _Node, attempt: _Attempt) -> None:
         """An answer from a server that broke connections. Sent so soon after the break that nothing can have
@@ -537,7 +537,7 @@
             self._settle(query)
         for query in list(self.queries.values()):
             if self.now >= query.end_at:
-                self._end(query, self._give_up(query))
+                self._end(query, self._give_up(query, "its time is over"))
             elif self.now >= query.look_at:
                 query.look_at = self.now + AGAIN_MS
                 for part in [p for p in query.parts if not p.done and p not in query.held]:
@@ -552,7 +552,7 @@
                                 del part.out[n]
                         self._try(part)
                 if query.deaths and self._hopeless(query):
-                    self._end(query, self._give_up(query))
+                    self._end(query, self._give_up(query, "servers died under it"))
 
     # -- Ending queries. On call: one final answer each, in time, and honest.
     def _settle(self, query: _Query) -> None:
@@ -574,14 +574,14 @@
         else:
             self._end(query, api.Answer(query.id, query.whole))
 
-    def _give_up(self, query: _Query) -> api.Action:
+    def _give_up(self, query: _Query, why: str) -> api.Action:
         """Answers from what is in where the floor allows, refuses if a repeat is harmless, else fails."""
         cls, last_step = query.cls, query.step == 2 or not query.cls.second_step
         if last_step and query.parts and cls.floor < cls.need and query.got >= cls.floor:
             return api.Answer(query.id, False)
         if cls.effect == "safe" or not any(p.maybe_ran for p in query.parts):
-            return api.Refuse(query.id, self.set.max_retry_after_ms if self.set.retry_after else 0.0)
-        return api.Fail(query.id)
+            return api.Refuse(query.id, self.set.max_retry_after_ms if self.set.retry_after else 0.0, why)
+        return api.Fail(query.id, why)
 
     def _end(self, query: _Query, last: api.Action | None) -> None:
         self.acts.extend([last] if last else [])
--- a/badgerbend/metrics.py
+++ b/badgerbend/metrics.py
@@ -6,7 +6,7 @@
 
 from badgerbend import api
 from badgerbend.log import get
-from badgerbend.runtime.ports import Attempt
+from badgerbend.runtime.ports import Attempt, Ending
 
 BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
@@ -60,17 +60,18 @@
                 server=attempt.node, outcome=outcome.name.lower(), took_ms=round(took_ms, 1),
             )  # fmt: skip
 
-    def query_ended(self, query_id: int, cls: int, how: str, took_ms: float, parts: int, extra: int) -> None:
-        name = self.classes[cls]
-        self._ended[name, how].inc()
-        self.parts.labels(name).inc(parts)
-        if extra:
-            self.extra.labels(name).inc(extra)
-        self.latency.labels(name).observe(took_ms / 1000.0)
-        if how not in ("answered", "gone"):
+    def query_ended(self, ending: Ending) -> None:
+        name = self.classes[ending.cls]
+        self._ended[name, ending.how].inc()
+        self.parts.labels(name).inc(ending.parts)
+        if ending.extra:
+            self.extra.labels(name).inc(ending.extra)
+        self.latency.labels(name).observe(ending.took_ms / 1000.0)
+        if ending.how not in ("answered", "gone"):
             self._log.info(
-                "query ended", query=query_id, cls=name, how=how, took_ms=round(took_ms, 1), parts=parts, extra=extra
-            )
+                "query ended", query=ending.query_id, cls=name, how=ending.how, why=ending.why,
+                took_ms=round(ending.took_ms, 1), parts=ending.parts, extra=ending.extra,
+            )  # fmt: skip
 
     def stepped(self, events: int, seconds: float) -> None:
         self.steps.inc()
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -108,7 +108,7 @@
         parts = self._parts(exchange.body, request, key)
         retry = headers.get(names.RETRY) == b"1"
         time_left = min(float(int(left)), cls.deadline_ms)
-        return request, QueryPlan(number, tenant or 0, about, time_left, retry, None, parts)
+        return request, QueryPlan(number, tenant or 0, about, time_left, retry, None, parts, request.decode())
 
     def _parts(self, raw: bytes, request: bytes, key: bytes | None) -> list[PartPlan]:
         try:
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -40,7 +40,7 @@
     def __init__(self, config: Config) -> None:
         self.config, self.loop = config, asyncio.get_running_loop()
         settings = config.settings
-        self.tally = Tally()
+        self.tally = Tally(config.classes, lambda node: self.directory.names.get(node, str(node)))
         self.schedule = LoopSchedule(self.loop)
         self.directory = Directory(settings.cells, form(names.MEMBERS, config.zones, config.kinds), one_clock=True)
         descriptors = config.limits.descriptors
@@ -120,7 +120,7 @@
         self.transport.close()
         if self._sweeper is not None:
             self._sweeper.cancel()
-        self.tally.summary(self.directory.names, cut=cut)
+        self.tally.summary(cut=cut)
         return cut
 
     def _take_known(self) -> None:
@@ -153,7 +153,7 @@
         if now - self._summary_at >= SUMMARY_S:
             self._summary_at = now
             self.tally.summary(
-                self.directory.names, open=len(self.front.open), parts=self.driver.open_parts,
+                open=len(self.front.open), parts=self.driver.open_parts,
                 clients=len(self.server.connections), nodes=self.transport.open, opened=self.transport.opened,
                 rejected=self.front.rejected, turned_away=self.server.turned_away,
             )  # fmt: skip
--- a/badgerbend/platform/tally.py
+++ b/badgerbend/platform/tally.py
@@ -8,15 +8,15 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
 from badgerbend.api import Outcome
-from badgerbend.runtime.ports import Attempt
+from badgerbend.runtime.ports import Attempt, Ending
 
-MOST_LINES = 20  # of troubles a second; those beyond are counted
+MOST_LINES = 20  # of troubles and bad ends a second; those beyond are counted
 
 
 @dataclass(slots=True)
@@ -30,7 +30,8 @@
 class Tally:
     """The runtime's `Observer`."""
 
-    def __init__(self) -> None:
+    def __init__(self, classes: Sequence[str], name_of: Callable[[int], str]) -> None:
+        self.classes, self.name_of = classes, name_of  # of a server, by its number
         self.servers: dict[int, Server] = {}
         self.queries: Counter[str] = Counter()
         self.troubles: Counter[str] = Counter()
@@ -46,20 +47,33 @@
         if outcome is Outcome.OK:
             server.served_ms += took_ms
 
-    def query_ended(self, query_id: int, cls: int, how: str, took_ms: float, parts: int, extra: int) -> None:
-        self.queries[how] += 1
+    def query_ended(self, ending: Ending) -> None:
+        how = f"{ending.how}: {ending.why}" if ending.why else ending.how
+        self.queries[f"{self.classes[ending.cls]} {how}"] += 1
+        if ending.how in ("refused", "failed", "failed by the watch") and self._may_write():
+            lost = [
+                (a.plan.shard, a.number, self.name_of(a.node), outcome.name, round(took, 1))
+                for a, outcome, took in ending.lost
+            ]
+            self.line(
+                "ended", id=ending.name, cls=self.classes[ending.cls], how=how, took_ms=round(ending.took_ms, 1),
+                parts=ending.parts, lost=lost,
+            )  # fmt: skip
 
     def stepped(self, events: int, seconds: float) -> None:
         self.steps, self.events, self.step_s = self.steps + 1, self.events + events, self.step_s + seconds
 
     def trouble(self, what: str, detail: str) -> None:
         self.troubles[what] += 1
+        if self._may_write():
+            self.line("trouble", kind=what, detail=detail[:300])
+
+    def _may_write(self) -> bool:
         second = int(time.monotonic())
         if second != self._second:
             self._second, self._lines = second, 0
         self._lines += 1
-        if self._lines <= MOST_LINES:
-            self.line("trouble", kind=what, detail=detail[:300])
+        return self._lines <= MOST_LINES
 
     # -- lines
     def line(self, what: str, **values: object) -> None:
@@ -70,13 +84,13 @@
         except (OSError, ValueError):
             pass
 
-    def summary(self, names: Mapping[int, str], **also: object) -> None:
+    def summary(self, **also: object) -> None:
         """What happened since the last one; servers by their names on the list, or number once they have left it."""
         self.line(
             "summary", queries=self.queries, troubles=self.troubles, steps=self.steps, events=self.events,
             step_ms=round(self.step_s * 1000.0, 1),
             servers={
-                names.get(node, str(node)): {**s.ends, "served_ms": round(s.served_ms / max(s.ends["OK"], 1), 1)}
+                self.name_of(node): {**s.ends, "served_ms": round(s.served_ms / max(s.ends["OK"], 1), 1)}
                 for node, s in self.servers.items()
             },
             **also,
--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -14,16 +14,27 @@
 from badgerbend import api
 from badgerbend.api import Outcome
 from badgerbend.logic import Aggregator
-from badgerbend.runtime.ports import Attempt, Observer, PartPlan, QueryPlan, Schedule, ServerList, Sink, Transport
+from badgerbend.runtime.ports import (
+    Attempt,
+    Ending,
+    Observer,
+    PartPlan,
+    QueryPlan,
+    Schedule,
+    ServerList,
+    Sink,
+    Transport,
+)
 
 WATCH, TIMEOUT, ALARM = 0, 1, 2
 
 
 class _Query:
-    __slots__ = ("cls", "extra", "id", "number", "parts", "results", "sink", "started", "step", "whole")
+    __slots__ = ("cls", "extra", "id", "lost", "name", "number", "parts", "results", "sink", "started", "step", "whole")
 
-    def __init__(self, qid: int, number: int, cls: int, sink: Sink, started: float) -> None:
-        self.id, self.number, self.cls, self.sink, self.started = qid, number, cls, sink, started
+    def __init__(self, qid: int, number: int, cls: int, name: str, sink: Sink, started: float) -> None:
+        self.id, self.number, self.cls, self.name, self.sink, self.started = qid, number, cls, name, sink, started
+        self.lost: list[tuple[Attempt, Outcome, float]] = []  # bounded by the parts and the tries of each
         self.parts: dict[int, PartPlan] = {}
         self.results: dict[int, object] = {}
         self.step, self.whole, self.extra = 1, True, 0
@@ -64,7 +75,7 @@
             sink.refused(advice)
             return None
         now = self.schedule.now_ms()
-        query = _Query(next(self._ids), next(self._numbers), plan.cls, sink, now)
+        query = _Query(next(self._ids), next(self._numbers), plan.cls, plan.name, sink, now)
         self.queries[query.id] = query
         parts = self._take(query, plan.parts)
         left = max(plan.time_left_ms, 0.0)
@@ -91,6 +102,8 @@
         query = self.queries.get(attempt.query_id)
         if outcome == Outcome.OK and query is not None and attempt.part_id in query.parts:
             query.results.setdefault(attempt.part_id, result)
+        elif query is not None and outcome != Outcome.OK:
+            query.lost.append((attempt, outcome, took))
         self.observer.attempt_ended(attempt, outcome, took)
         self._note(
             api.Completed(attempt.part_id, attempt.number, attempt.node, outcome, max(took, 0.0), report)
@@ -141,12 +154,12 @@
                 self._cancel(part, number)
             case api.Answer(query_id, whole):
                 self._answer(query_id, whole)
-            case api.Refuse(query_id, after):
+            case api.Refuse(query_id, after, why):
                 if query_id in self.queries:
-                    self._tell(self._close(self.queries[query_id], "refused").refused, after)
-            case api.Fail(query_id):
+                    self._tell(self._close(self.queries[query_id], "refused", why).refused, after)
+            case api.Fail(query_id, why):
                 if query_id in self.queries:
-                    self._tell(self._close(self.queries[query_id], "failed").failed)
+                    self._tell(self._close(self.queries[query_id], "failed", why).failed)
             case api.CloseIdle(node):
                 self._flush(node)  # a send that was decided before goes before
                 self.transport.close_idle(node)
@@ -250,9 +263,10 @@
         self.open_parts -= len(query.parts)
         query.parts, query.results = {}, {}
 
-    def _close(self, query: _Query, how: str) -> Sink:
+    def _close(self, query: _Query, how: str, why: str = "") -> Sink:
         took = self.schedule.now_ms() - query.started
-        self.observer.query_ended(query.id, query.cls, how, took, len(query.parts), query.extra)
+        parts, extra, lost = len(query.parts), query.extra, query.lost
+        self.observer.query_ended(Ending(query.id, query.name, query.cls, how, why, took, parts, extra, lost))
         del self.queries[query.id]
         self._forget_parts(query)
         return query.sink
--- a/badgerbend/runtime/ports.py
+++ b/badgerbend/runtime/ports.py
@@ -30,6 +30,7 @@
     is_retry: bool
     cost_ms: float | None
     parts: Sequence[PartPlan]
+    name: str = ""  # what a person knows it by, for the log
 
 
 @dataclass(slots=True, eq=False)
@@ -46,6 +47,21 @@
     handle: object = None  # the transport's own
 
 
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a query ended, for those who ask later. why: the module's word on a refusal or failure."""
+
+    query_id: int
+    name: str
+    cls: int
+    how: str
+    why: str
+    took_ms: float
+    parts: int
+    extra: int  # attempts beyond each part's first
+    lost: Sequence[tuple[Attempt, api.Outcome, float]]  # attempts not served while it was open; what each took, in ms
+
+
 class Sink(Protocol):
     """Where a query's answers go. Exactly one of `answered`, `refused`, `failed` is called, once."""
 
@@ -90,7 +106,7 @@
 
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, took_ms: float) -> None: ...
 
-    def query_ended(self, query_id: int, cls: int, how: str, took_ms: float, parts: int, extra: int) -> None: ...
+    def query_ended(self, ending: Ending) -> None: ...
 
     def stepped(self, events: int, seconds: float) -> None: ...
 
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,93 @@
+"""What the platform asks of `run`: one process, nothing that its filter refuses, a file system it cannot write to."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from badgerbend.net.client import Pool
+from badgerbend.standin.agent import Agent
+from badgerbend.standin.client import LIMITS
+from badgerbend.standin.framenode import FrameNode
+from tests.platform_stage import CELLS, file_of, query, run
+from tests.sockets import until
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+CONFINED = ROOT / "tests" / "confined.py"
+
+
+def test_run_and_sim_end_by_exec_in_one_process_of_what_build_leaves():
+    assert DEPLOY["run"] == "exec .venv/bin/python -m badgerbend.platform"
+    assert DEPLOY["sim"].startswith("exec ") and not any(c in DEPLOY["sim"] for c in "&|;")
+    assert "compileall" in DEPLOY["build"]  # the file system is read-only later: nothing could be kept then
+    assert not DEPLOY["packages"]
+
+
+def test_what_is_named_in_the_deploy_file_is_there():
+    for path in (*DEPLOY["policy"], *DEPLOY["node"]):
+        assert (ROOT / path).exists(), path
+
+
+@pytest.mark.parametrize("what", ["fork", "unix", "write", "sendfile", "splice", "execute"])
+def test_the_filter_kills_what_it_is_for(what):
+    done = subprocess.run([sys.executable, CONFINED, what], capture_output=True)
+    assert done.returncode == -signal.SIGSYS, done.stderr
+
+
+def test_run_serves_reloads_and_ends_under_the_filter(tmp_path):
+    """As an ordinary user where the test may become one. Anything refused, and the process is gone by SIGSYS."""
+
+    async def main():
+        agent, node = Agent(), FrameNode()
+        agent_port = await agent.start()
+        for cell in range(CELLS):
+            agent.put(f"s{cell}", node.port or await node.start(), cell)
+        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = free.sockets[0].getsockname()[1]
+        free.close()
+        await free.wait_closed()
+        config = tmp_path / "config.json"
+        config.write_bytes(file_of(agent_port, listen=port))
+        for folder in (config, *tmp_path.parents[:2], tmp_path):
+            os.chmod(folder, 0o755)
+        env = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(config)}
+        process = subprocess.Popen([sys.executable, CONFINED], env=env, stderr=subprocess.PIPE)
+        pool = Pool("127.0.0.1", port, LIMITS)
+        try:
+            first = await asyncio.to_thread(process.stderr.readline)
+            assert msgspec.json.decode(first)["what"] == "listening", first
+            await until(lambda: agent.waiting)  # the list was read, and is watched
+            body = query((1, 2, 3))
+            head = (
+                b"POST /quote/abc HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: q1\r\nX-Service-Class: quote\r\n"
+                b"X-Account: acme\r\nX-Time-Left-Ms: 3000\r\nContent-Length: %d\r\n\r\n" % len(body)
+            )
+            done = asyncio.get_running_loop().create_future()
+            pool.request(head + body, done.set_result)
+            assert (await done).status == 200
+            node.stop()  # and what it does when a connection is refused
+            done = asyncio.get_running_loop().create_future()
+            pool.request(head.replace(b"q1", b"q2") + body, done.set_result)
+            assert (await done).status == 503
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: sum("since" not in path for path in agent.asked) == 2)
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.to_thread(process.wait) == 0
+            lines = [msgspec.json.decode(line) for line in process.stderr]
+        finally:
+            pool.close()
+            process.kill()
+            process.stderr.close()
+        ends = [line for line in lines if line["what"] == "ended"]
+        assert [line["id"] for line in ends] == ["q2"]  # an answer that was refused can be followed by its id
+        assert ends[0]["how"].startswith("refused: ") and {row[3] for row in ends[0]["lost"]} >= {"CONNECT_FAILED"}
+        await agent.close()
+
+    run(main)
