--- /dev/null
+++ b/badgerbend/consensus/log.py
@@ -0,0 +1,95 @@
+"""A voter's log in memory: a snapshot, and the entries after it. Pure; what changes it is written by its owner."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from badgerbend.consensus.messages import Append, Entry, Kind, Record, Snapshot, Vote
+
+EMPTY = Snapshot(0, 0, (), b"")
+
+
+class Log:
+    """Indices count from 1; `base` is the snapshot's index, 0 where there is none."""
+
+    def __init__(self, snapshot: Snapshot = EMPTY, entries: Iterable[Entry] = ()) -> None:
+        self.snapshot = snapshot
+        self.entries: list[Entry] = list(entries)
+
+    @property
+    def base(self) -> int:
+        return self.snapshot.index
+
+    @property
+    def last_index(self) -> int:
+        return self.base + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        return self.entries[-1].term if self.entries else self.snapshot.term
+
+    def term_at(self, index: int) -> int | None:
+        """None where it is not held: before the snapshot, or beyond the end."""
+        if index == self.base:
+            return self.snapshot.term
+        if self.base < index <= self.last_index:
+            return self.entries[index - self.base - 1].term
+        return None
+
+    def after(self, index: int) -> Sequence[Entry]:
+        """Entries beyond an index that is held."""
+        return self.entries[index - self.base :]
+
+    def at(self, index: int) -> Entry:
+        return self.entries[index - self.base - 1]
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """In a row, from an index that is held or follows the last; what stood there is replaced."""
+        del self.entries[entries[0].index - self.base - 1 :]
+        self.entries += entries
+
+    def take(self, snapshot: Snapshot) -> None:
+        """The snapshot takes the place of all up to its index, and of all else if the log does not fit on it."""
+        fits = self.term_at(snapshot.index) == snapshot.term
+        self.entries = list(self.after(snapshot.index)) if fits else []
+        self.snapshot = snapshot
+
+    def voters(self) -> tuple[tuple[str, ...], int]:
+        """Who votes by the latest word on it, committed or not, and that word's index."""
+        for entry in reversed(self.entries):
+            if entry.kind is Kind.VOTERS:
+                return entry.voters(), entry.index
+        return self.snapshot.voters, self.base
+
+
+@dataclass(slots=True)
+class Kept:
+    """What a voter's disk says: the sum of its records."""
+
+    term: int = 0
+    voted: str = ""
+    log: Log = field(default_factory=Log)
+
+    def add(self, record: Record) -> None:
+        """Raises ValueError for one that cannot follow what came before it."""
+        match record:
+            case Vote(term, voted):
+                if term < self.term or (term == self.term and self.voted and voted != self.voted):
+                    raise ValueError(f"a vote in term {term} after one in term {self.term}")
+                self.term, self.voted = term, voted
+            case Append(entries):
+                if not self.log.base < entries[0].index <= self.log.last_index + 1:
+                    raise ValueError(f"entry {entries[0].index} after {self.log.last_index}")
+                self.log.append(entries)
+            case Snapshot():
+                self.log.take(record)
+
+    def records(self) -> list[Record]:
+        """The fewest records that say the same. Added up, they are a copy."""
+        out: list[Record] = [Vote(self.term, self.voted)]
+        if self.log.snapshot != EMPTY:
+            out.append(self.log.snapshot)
+        if self.log.entries:
+            out.append(Append(tuple(self.log.entries)))
+        return out
--- /dev/null
+++ b/badgerbend/consensus/messages.py
@@ -0,0 +1,204 @@
+"""What voters say to each other, and what they keep: typed arrays in MessagePack, bounded before they are believed.
+
+The names are those of Ongaro's thesis (2014) with the field's plain words: `Feed` is AppendEntries, `AskVote`
+RequestVote, `Install` InstallSnapshot, `Cede` TimeoutNow.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Annotated
+
+import msgspec
+
+MOST_BYTES = 1300  # of a message: with seal and envelope it stays within one Ethernet frame
+MOST_COMMAND = 900  # bytes of one entry's data
+MOST_VOTERS = 9
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+TextOrNone = Annotated[str, msgspec.Meta(max_length=64)]
+Number = Annotated[int, msgspec.Meta(ge=0, lt=1 << 62)]
+Names = Annotated[tuple[Text, ...], msgspec.Meta(max_length=MOST_VOTERS)]
+
+
+class Kind(IntEnum):
+    """What an entry is for."""
+
+    NOOP = 0  # a leader's first: what it commits commits all before it
+    COMMAND = 1  # the machine's
+    VOTERS = 2  # who votes from here on
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    index: Number
+    term: Number
+    kind: Kind
+    data: Annotated[bytes, msgspec.Meta(max_length=MOST_COMMAND)] = b""
+
+    def voters(self) -> tuple[str, ...]:
+        """Of an entry of kind VOTERS."""
+        return _names_decoder.decode(self.data)
+
+
+# -- what is kept, in the order of its writing
+
+
+class Vote(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """The term a voter is in, and whom it gave its vote in it; empty: nobody yet."""
+
+    term: Number
+    voted: TextOrNone
+
+
+class Append(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """Entries in a row. Whatever the log held from the first one's index on is gone."""
+
+    entries: tuple[Entry, ...]
+
+
+class Snapshot(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """The machine's whole state after `index`. The log up to there is gone, and all of it if it does not fit."""
+
+    index: Number
+    term: Number
+    voters: Names
+    state: bytes
+
+
+Record = Vote | Append | Snapshot
+
+
+# -- what is said; each is of a term and from a voter
+
+
+class AskVote(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """pre: only asks whether it would be given; nobody's term changes by it. ceded: its leader told it to."""
+
+    term: Number
+    source: Text
+    last_index: Number
+    last_term: Number
+    pre: bool
+    ceded: bool
+
+
+class Voted(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    term: Number
+    source: Text
+    pre: bool
+    granted: bool
+
+
+class Feed(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """Entries after `prev_index`, none for a heartbeat. beat: numbers the leader's rounds, for reads."""
+
+    term: Number
+    source: Text
+    prev_index: Number
+    prev_term: Number
+    entries: tuple[Entry, ...]
+    commit: Number
+    beat: Number
+
+
+class Fed(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """ok: all up to `index` is here and kept. Else `index` is where it may fit."""
+
+    term: Number
+    source: Text
+    ok: bool
+    index: Number
+    beat: Number
+
+
+class Install(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """A piece of a snapshot, from `offset` of its `size` bytes on."""
+
+    term: Number
+    source: Text
+    index: Number
+    snapshot_term: Number
+    voters: Names
+    offset: Number
+    size: Number
+    piece: bytes
+    beat: Number
+
+
+class Installed(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """So much of the snapshot at `index` is here; once `kept`, all of it, and on disk."""
+
+    term: Number
+    source: Text
+    index: Number
+    offset: Number
+    kept: bool
+    beat: Number
+
+
+class Cede(msgspec.Struct, array_like=True, frozen=True, tag=7):
+    """The leader wants its receiver to stand at once."""
+
+    term: Number
+    source: Text
+
+
+Message = AskVote | Voted | Feed | Fed | Install | Installed | Cede
+
+_encoder = msgspec.msgpack.Encoder()
+_message_decoder = msgspec.msgpack.Decoder(Message)
+_record_decoder = msgspec.msgpack.Decoder(Record)
+_names_decoder = msgspec.msgpack.Decoder(Names)
+
+
+class Malformed(Exception):
+    """Bytes that are none of ours, or out of bounds."""
+
+
+def encode(message: Message | Record) -> bytes:
+    return _encoder.encode(message)
+
+
+def encode_names(names: tuple[str, ...]) -> bytes:
+    """The data of an entry of kind VOTERS."""
+    return _encoder.encode(names)
+
+
+def size_of(entry: Entry) -> int:
+    """Bytes that an entry takes in a message."""
+    return len(_encoder.encode(entry))
+
+
+def decode(data: bytes) -> Message:
+    """Raises Malformed."""
+    try:
+        message = _message_decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
+    if isinstance(message, Feed):
+        _check(message.entries, message.prev_index)
+    return message
+
+
+def decode_record(data: bytes) -> Record:
+    """Raises Malformed."""
+    try:
+        record = _record_decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
+    if isinstance(record, Append):
+        if not record.entries:
+            raise Malformed("nothing to append")
+        _check(record.entries, record.entries[0].index - 1)
+    return record
+
+
+def _check(entries: tuple[Entry, ...], prev: int) -> None:
+    for entry in entries:
+        if entry.index != prev + 1:
+            raise Malformed("entries out of order")
+        prev = entry.index
+        if entry.kind is Kind.VOTERS:
+            try:
+                entry.voters()
+            except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+                raise Malformed(f"voters: {err}") from err
--- /dev/null
+++ b/badgerbend/consensus/raft.py
@@ -0,0 +1,603 @@
+"""Raft (Ongaro, "Consensus: Bridging Theory and Practice", 2014) as a pure state machine.
+
+Time, messages and word of what reached the disk go in; messages, writes and events come out by `take`. With it:
+pre-vote (9.6) so that one who was cut off disturbs nobody, check-quorum (6.2) so that a leader cut off steps down,
+reads confirmed by a round of heartbeats (6.4, no clock is trusted), transfer of leadership (3.10), one voter changed at
+a time (4.2.1, with the erratum: only once an entry of the leader's own term is committed), newcomers fed before they
+vote (4.2.1), snapshots in pieces (5).
+
+What promises something on disk is held back until the disk has it: a vote given, entries acknowledged, one's own vote
+and one's own share of a majority. Times are seconds on any clock that does not go backwards.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Protocol
+
+from badgerbend.consensus.log import Kept
+from badgerbend.consensus.messages import (
+    MOST_BYTES,
+    MOST_COMMAND,
+    MOST_VOTERS,
+    Append,
+    AskVote,
+    Cede,
+    Entry,
+    Fed,
+    Feed,
+    Install,
+    Installed,
+    Kind,
+    Message,
+    Record,
+    Snapshot,
+    Vote,
+    Voted,
+    encode_names,
+    size_of,
+)
+
+HEAD_BYTES = 300  # of a message: all but its entries or its piece
+PIPELINE = 4  # messages on the way to one follower, between its answers
+JOINED_WITHIN = 8  # a newcomer so many entries behind has caught up
+
+
+class Machine(Protocol):
+    """What the log is for. The same commands in the same order leave the same state, wherever."""
+
+    def apply(self, index: int, data: bytes) -> None: ...
+
+    def dump(self) -> bytes: ...
+
+    def load(self, state: bytes) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """election_s: who hears no leader for one to two of these stands; beat_s: a leader is heard so often.
+
+    compact: a snapshot is taken after so many entries.
+    """
+
+    election_s: float = 1.0
+    beat_s: float = 0.2
+    compact: int = 1000
+
+
+class Role(Enum):
+    FOLLOWER = auto()
+    ASKING = auto()  # whether it would be given votes
+    CANDIDATE = auto()
+    LEADER = auto()
+
+
+# -- events
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    entry: Entry
+
+
+@dataclass(frozen=True, slots=True)
+class Leads:
+    """This voter leads, and knows all that was ever acknowledged."""
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class Follows:
+    """This voter does not lead, or no longer. leader: empty while unknown."""
+
+    term: int
+    leader: str
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmed:
+    """At some moment after `read` was called this voter was the leader, and knew all acknowledged before it."""
+
+    token: int
+
+
+Event = Applied | Leads | Follows | Confirmed
+
+
+class _Progress:
+    """What a leader holds of another."""
+
+    __slots__ = ("beat", "flying", "heard_at", "match", "next", "offset")
+
+    def __init__(self, following: int, now: float) -> None:
+        self.match, self.next = 0, following
+        self.heard_at, self.beat = now, 0
+        self.offset = 0  # of the snapshot, acknowledged
+        self.flying = 0  # messages since its last answer
+
+
+class Raft:
+    """One voter, or one that waits to become one. `kept` is what its disk holds; it is the machine's to load."""
+
+    def __init__(self, name: str, kept: Kept, machine: Machine, tuning: Tuning, seed: int, now: float) -> None:
+        self.name, self.machine, self.tuning, self.rng = name, machine, tuning, random.Random(seed)
+        self.term, self.voted, self.log = kept.term, kept.voted, kept.log
+        if self.log.base:
+            machine.load(self.log.snapshot.state)
+        self.commit = self.applied = self.log.base
+        self.voters, self.voters_index = self.log.voters()
+        self.role, self.leader = Role.FOLLOWER, ""
+        self.heard_at = -math.inf  # a leader
+        self.votes = set[str]()
+        self.progress: dict[str, _Progress] = {}
+        self.joining = ""
+        self.ceding: tuple[str, float] | None = None
+        self.beat, self.beat_at = 0, math.inf
+        self.reads: list[tuple[int, int]] = []  # the beat that confirms, and the token
+        self.out: list[tuple[str, Message]] = []
+        self.writes: list[tuple[int, Record]] = []
+        self.events: list[Event] = []
+        self.seq = self.synced = 0  # writes, and those on disk
+        self.durable = self.log.last_index
+        self._appends: deque[tuple[int, int]] = deque()  # not on disk yet: the write, its last index
+        self._held: deque[tuple[int, str, Message]] = deque()  # until a write is on disk
+        self._own_vote: tuple[int, int] | None = None  # the same for its own: the write, the term
+        self._partial: tuple[tuple[int, int, int], bytearray] | None = None
+        self._told_lead = 0
+        self.deadline = self._new_deadline(now)
+
+    # -- the caller's side
+    def receive(self, now: float, message: Message) -> None:
+        if message.source == self.name:
+            return
+        if isinstance(message, AskVote):
+            self._asked(now, message)
+            return
+        granted_ahead = isinstance(message, Voted) and message.pre and message.granted
+        if message.term > self.term and not granted_ahead:
+            self._follow(now, message.term, "")
+        if message.term < self.term:
+            if isinstance(message, Feed | Install):  # a leader of the past learns that it is one
+                self._send(message.source, Fed(self.term, self.name, False, self.log.last_index, 0), self.seq)
+            return
+        match message:
+            case Voted():
+                self._counted(now, message)
+            case Feed():
+                self._fed(now, message)
+            case Fed():
+                self._acknowledged(now, message)
+            case Install():
+                self._installing(now, message)
+            case Installed():
+                self._installed(now, message)
+            case Cede():
+                if self.role is Role.FOLLOWER and message.source == self.leader and self.name in self.voters:
+                    self._stand(now, ceded=True)
+
+    def tick(self, now: float) -> None:
+        """What is due by now."""
+        if self.role is not Role.LEADER:
+            if now >= self.deadline:
+                self.deadline = self._new_deadline(now)
+                if self.name in self.voters:
+                    self._ask_first(now)
+            return
+        fresh = [n for n in self.voters if n == self.name or now - self.progress[n].heard_at < self._patience()]
+        if not self._most(fresh):
+            self._follow(now, self.term, "")
+            return
+        if self.ceding is not None and now >= self.ceding[1]:
+            self.ceding = None
+        if now >= self.beat_at:
+            self._beat(now)
+
+    @property
+    def next_at(self) -> float:
+        """When `tick` has something to do."""
+        return self.beat_at if self.role is Role.LEADER else self.deadline
+
+    def propose(self, now: float, data: bytes) -> int | None:
+        """A command for the log: its index, or None where this voter does not lead or hands over. It stands once
+        `Applied` tells of an entry with that index and this term; another in its place says that it was lost."""
+        if self.role is not Role.LEADER or self.ceding is not None or len(data) > MOST_COMMAND:
+            return None
+        return self._add(now, Kind.COMMAND, data)
+
+    def read(self, now: float, token: int) -> bool:
+        """Asks for `Confirmed(token)`; False where this voter does not lead. No word comes if it is deposed."""
+        if not self.ready:
+            return False
+        self.reads.append((self.beat + 1, token))
+        self.beat_at = min(self.beat_at, now + self.tuning.beat_s / 20)  # those that come together share a round
+        return True
+
+    def change(self, now: float, name: str, votes: bool) -> str | None:
+        """Lets another vote, or no longer; what stands against it, or None. One who joins is fed first."""
+        if not self.ready:
+            return "not the leader"
+        if self.voters_index > self.commit or self.joining not in ("", name):
+            return "another change is under way"
+        if votes == (name in self.voters):
+            return "nothing to change"
+        if votes and len(self.voters) >= MOST_VOTERS:
+            return f"there are {MOST_VOTERS} voters already"
+        if not votes and len(self.voters) == 1:
+            return "the last voter stays"
+        if votes:
+            self.joining = name
+            self.progress.setdefault(name, _Progress(self.log.last_index + 1, now))
+            self._beat(now)
+        else:
+            self._add(now, Kind.VOTERS, encode_names(tuple(n for n in self.voters if n != name)))
+        return None
+
+    def transfer(self, now: float, to: str = "") -> bool:
+        """Hands leadership over, to the one that has most where none is named; proposals wait meanwhile."""
+        others = [n for n in self.voters if n != self.name]
+        if self.role is not Role.LEADER or not others or (to and to not in others):
+            return False
+        to = to or max(others, key=lambda n: (self.progress[n].match, self.progress[n].heard_at))
+        self.ceding = (to, now + self.tuning.election_s)
+        self._cede_if_level(now)
+        return True
+
+    def saved(self, now: float, seq: int) -> None:
+        """All writes up to this one are on disk, for good."""
+        self.synced = max(self.synced, seq)
+        while self._appends and self._appends[0][0] <= self.synced:
+            self.durable = max(self.durable, self._appends.popleft()[1])
+        while self._held and self._held[0][0] <= self.synced:
+            _, to, message = self._held.popleft()
+            self.out.append((to, message))
+        if self._own_vote is not None and self._own_vote[0] <= self.synced:
+            _, term = self._own_vote
+            self._own_vote = None
+            if self.role is Role.CANDIDATE and self.term == term:
+                self._vote_for_me(now, self.name)
+        if self.role is Role.LEADER:
+            self._advance(now)
+
+    def take(self) -> tuple[list[tuple[int, Record]], list[tuple[str, Message]], list[Event]]:
+        """Writes in their order, messages and events since the last call. Messages do not wait for these writes:
+        those that must were held back."""
+        taken = self.writes, self.out, self.events
+        self.writes, self.out, self.events = [], [], []
+        return taken
+
+    @property
+    def ready(self) -> bool:
+        """Whether it leads and has an entry of its own term committed."""
+        return self.role is Role.LEADER and self.log.term_at(self.commit) == self.term
+
+    # -- elections
+    def _new_deadline(self, now: float) -> float:
+        return now + self.tuning.election_s * self.rng.uniform(1.0, 2.0)
+
+    def _patience(self) -> float:
+        return 2.0 * self.tuning.election_s
+
+    def _most(self, names: Sequence[str]) -> bool:
+        """Whether these are more than half of the voters."""
+        return 2 * len(set(names) & set(self.voters)) > len(self.voters)
+
+    def _ask_first(self, now: float) -> None:
+        self.role, self.leader, self.votes = Role.ASKING, "", set()
+        self._ask(pre=True, ceded=False)
+        self._vote_for_me(now, self.name)
+
+    def _stand(self, now: float, ceded: bool = False) -> None:
+        self.role, self.leader, self.votes = Role.CANDIDATE, "", set()
+        self.term, self.voted = self.term + 1, self.name
+        self._own_vote = (self._write(Vote(self.term, self.name)), self.term)
+        self.deadline = self._new_deadline(now)
+        self._ask(pre=False, ceded=ceded)
+
+    def _ask(self, pre: bool, ceded: bool) -> None:
+        log, term = self.log, self.term + pre
+        for name in self.voters:
+            if name != self.name:
+                message = AskVote(term, self.name, log.last_index, log.last_term, pre, ceded)
+                self._send(name, message, 0 if pre else self.seq)
+
+    def _asked(self, now: float, m: AskVote) -> None:
+        """One who heard a leader lately gives nobody a thought: who was cut off or removed disturbs no one."""
+        if m.term < self.term:
+            self._send(m.source, Voted(self.term, self.name, m.pre, False), self.seq)
+            return
+        if not m.ceded and (self.role is Role.LEADER or now - self.heard_at < self.tuning.election_s):
+            return
+        fits = (m.last_term, m.last_index) >= (self.log.last_term, self.log.last_index)
+        if m.pre:
+            granted = fits and m.term > self.term
+            self._send(m.source, Voted(m.term if granted else self.term, self.name, True, granted), self.seq)
+            return
+        if m.term > self.term:
+            self._follow(now, m.term, "")
+        granted = fits and self.voted in ("", m.source)
+        if granted and not self.voted:
+            self.voted = m.source
+            self._write(Vote(self.term, m.source))
+        if granted:
+            self.deadline = self._new_deadline(now)
+        self._send(m.source, Voted(self.term, self.name, False, granted), self._promised())
+
+    def _promised(self) -> int:
+        """The write that must be on disk before a promise is made on what was decided so far."""
+        return self.seq
+
+    def _counted(self, now: float, m: Voted) -> None:
+        asked = Role.ASKING if m.pre else Role.CANDIDATE
+        if m.granted and self.role is asked and m.term == self.term + m.pre:
+            self._vote_for_me(now, m.source)
+
+    def _vote_for_me(self, now: float, name: str) -> None:
+        self.votes.add(name)
+        if self._most(list(self.votes)):
+            if self.role is Role.ASKING:
+                self._stand(now)
+            else:
+                self._lead(now)
+
+    def _lead(self, now: float) -> None:
+        self.role, self.leader, self.ceding, self.joining = Role.LEADER, self.name, None, ""
+        following = self.log.last_index + 1
+        self.progress = {n: _Progress(following, now) for n in self.voters if n != self.name}
+        self.beat, self.reads = 0, []
+        self._add(now, Kind.NOOP, b"")
+        self._beat(now)
+
+    def _follow(self, now: float, term: int, leader: str) -> None:
+        """Follows in this term, which is its own or a later one."""
+        if term > self.term:
+            self.term, self.voted = term, ""
+            self._write(Vote(term, ""))
+        led = self.role is Role.LEADER
+        if led or leader != self.leader:
+            self.events.append(Follows(term, leader))
+        self.role, self.leader, self.ceding, self.joining = Role.FOLLOWER, leader, None, ""
+        self.reads, self.progress, self.beat_at = [], {}, math.inf
+        self.deadline = self._new_deadline(now)
+
+    # -- the leader's log
+    def _add(self, now: float, kind: Kind, data: bytes) -> int:
+        entry = Entry(self.log.last_index + 1, self.term, kind, data)
+        self._append((entry,))
+        for name in list(self.progress):
+            self._feed(now, name)
+        self._advance(now)
+        return entry.index
+
+    def _beat(self, now: float) -> None:
+        self.beat += 1
+        self.beat_at = now + self.tuning.beat_s
+        for name, progress in self.progress.items():
+            progress.flying = 0
+            self._feed(now, name, empty=True)
+        self._confirm()
+
+    def _feed(self, now: float, name: str, empty: bool = False) -> None:
+        """Sends what another lacks, as far as may be on the way at once; a heartbeat where it lacks nothing."""
+        progress, log = self.progress[name], self.log
+        while progress.flying < PIPELINE and (empty or progress.next <= log.last_index):
+            empty = False
+            progress.flying += 1
+            previous = progress.next - 1
+            term = log.term_at(previous)
+            if term is None:
+                self._piece(name, progress)
+                return
+            entries, room = list[Entry](), MOST_BYTES - HEAD_BYTES
+            for entry in log.after(previous):
+                room -= size_of(entry)
+                if entries and room < 0:
+                    break
+                entries.append(entry)
+            progress.next += len(entries)
+            message = Feed(self.term, self.name, previous, term, tuple(entries), self.commit, self.beat)
+            self._send(name, message, 0)
+
+    def _piece(self, name: str, progress: _Progress) -> None:
+        snapshot = self.log.snapshot
+        state = snapshot.state
+        offset = min(progress.offset, len(state))
+        piece = state[offset : offset + MOST_BYTES - HEAD_BYTES]
+        message = Install(
+            self.term, self.name, snapshot.index, snapshot.term, snapshot.voters, offset, len(state), piece, self.beat
+        )
+        self._send(name, message, 0)
+
+    def _acknowledged(self, now: float, m: Fed) -> None:
+        progress = self._heard(now, m)
+        if progress is None:
+            return
+        if not m.ok:
+            progress.next = max(progress.match + 1, min(m.index + 1, progress.next))
+            self._feed(now, m.source, empty=True)
+        elif m.index > progress.match:
+            progress.match = m.index
+            progress.next = max(progress.next, m.index + 1)
+            self._advance(now)
+        self._go_on(now, m.source)
+
+    def _installed(self, now: float, m: Installed) -> None:
+        progress = self._heard(now, m)
+        if progress is None:
+            return
+        if m.kept:
+            progress.match = max(progress.match, m.index)
+            progress.next, progress.offset = max(progress.next, progress.match + 1), 0
+        else:
+            progress.offset = m.offset if m.index == self.log.base else 0
+            if progress.next <= self.log.base:
+                progress.flying += 1
+                self._piece(m.source, progress)
+                return
+        self._go_on(now, m.source)
+
+    def _heard(self, now: float, m: Fed | Installed) -> _Progress | None:
+        progress = self.progress.get(m.source) if self.role is Role.LEADER else None
+        if progress is not None:
+            progress.heard_at, progress.flying = now, max(progress.flying - 1, 0)
+            progress.beat = max(progress.beat, m.beat)
+            self._confirm()
+        return progress
+
+    def _go_on(self, now: float, name: str) -> None:
+        if self.role is not Role.LEADER or name not in self.progress:
+            return
+        self._feed(now, name)
+        if name == self.joining and self.progress[name].match + JOINED_WITHIN >= self.log.last_index:
+            self.joining = ""
+            self._add(now, Kind.VOTERS, encode_names((*self.voters, name)))
+        self._cede_if_level(now)
+
+    def _cede_if_level(self, now: float) -> None:
+        if self.ceding is not None and self.progress[self.ceding[0]].match == self.log.last_index:
+            self._send(self.ceding[0], Cede(self.term, self.name), 0)
+
+    def _confirm(self) -> None:
+        while self.reads:
+            beat, token = self.reads[0]
+            if not self._most([n for n in self.voters if n == self.name or self.progress[n].beat >= beat]):
+                return
+            if beat > self.beat:
+                return
+            self.reads.pop(0)
+            self.events.append(Confirmed(token))
+
+    def _advance(self, now: float) -> None:
+        """Commits what most voters have on disk, once that reaches an entry of this term (3.6.2: an earlier term's
+        is never committed by counting)."""
+        have = sorted(self.durable if n == self.name else self.progress[n].match for n in self.voters)
+        index = have[(len(have) - 1) // 2]
+        if index > self.commit and self._countable(index):
+            self.commit = index
+            self._apply(now)
+
+    def _countable(self, index: int) -> bool:
+        return self.log.term_at(index) == self.term
+
+    # -- the follower's log
+    def _fed(self, now: float, m: Feed) -> None:
+        self._leader_is(now, m.source)
+        previous, entries = m.prev_index, m.entries
+        if previous < self.log.base:  # committed here already, and so the same
+            entries = tuple(e for e in entries if e.index > self.log.base)
+            previous = self.log.base
+            fits = True
+        else:
+            fits = self.log.term_at(previous) == m.prev_term
+        if not fits:
+            at = min(previous - 1, self.log.last_index)
+            while at > self.commit and (self.log.term_at(at) or 0) > m.prev_term:
+                at -= 1  # a whole term that the leader cannot hold there
+            self._send(m.source, Fed(self.term, self.name, False, at, m.beat), self._promised())
+            return
+        new = [e for e in entries if self.log.term_at(e.index) != e.term]
+        if new:
+            self._append(entries[new[0].index - entries[0].index :])
+        index = entries[-1].index if entries else previous
+        if min(m.commit, index) > self.commit:
+            self.commit = min(m.commit, index)
+            self._apply(now)
+        self._send(m.source, Fed(self.term, self.name, True, index, m.beat), self._promised())
+
+    def _leader_is(self, now: float, name: str) -> None:
+        if self.role is not Role.FOLLOWER or self.leader != name:
+            self._follow(now, self.term, name)
+        self.heard_at, self.deadline = now, self._new_deadline(now)
+
+    def _installing(self, now: float, m: Install) -> None:
+        self._leader_is(now, m.source)
+        if m.index <= self.commit:
+            self._partial = None
+            self._send(m.source, Installed(self.term, self.name, m.index, 0, True, m.beat), self._promised())
+            return
+        which = (m.term, m.index, m.size)
+        if self._partial is None or self._partial[0] != which:
+            self._partial = (which, bytearray())
+        state = self._partial[1]
+        if m.offset == len(state):
+            state += m.piece
+        if len(state) < m.size:
+            self._send(m.source, Installed(self.term, self.name, m.index, len(state), False, m.beat), 0)
+            return
+        self._partial = None
+        snapshot = Snapshot(m.index, m.snapshot_term, m.voters, bytes(state))
+        self._keep(snapshot)
+        self.machine.load(snapshot.state)
+        self.commit = self.applied = snapshot.index
+        self._send(m.source, Installed(self.term, self.name, m.index, 0, True, m.beat), self._promised())
+
+    def _apply(self, now: float) -> None:
+        while self.applied < self.commit:
+            entry = self.log.at(self.applied + 1)
+            self.applied = entry.index
+            if entry.kind is Kind.COMMAND:
+                self.machine.apply(entry.index, entry.data)
+            self.events.append(Applied(entry))
+        if self.ready and self._told_lead != self.term:
+            self._told_lead = self.term
+            self.events.append(Leads(self.term))
+        if self.applied - self.log.base >= self.tuning.compact:
+            self._compact()
+        if self.role is Role.LEADER and self.name not in self.voters and self.voters_index <= self.commit:
+            self._beat(now)  # the others learn that it stands
+            self._follow(now, self.term, "")
+
+    def _compact(self) -> None:
+        voters = self.log.snapshot.voters
+        for entry in self.log.entries[: self.applied - self.log.base]:
+            voters = entry.voters() if entry.kind is Kind.VOTERS else voters
+        term = self.log.term_at(self.applied)
+        assert term is not None
+        self._keep(Snapshot(self.applied, term, voters, self.machine.dump()))
+
+    # -- what is kept
+    def _write(self, record: Record) -> int:
+        self.seq += 1
+        self.writes.append((self.seq, record))
+        return self.seq
+
+    def _append(self, entries: Sequence[Entry]) -> None:
+        first = entries[0].index
+        self.durable = min(self.durable, first - 1)
+        self._appends = deque((seq, min(last, first - 1)) for seq, last in self._appends)
+        self.log.append(entries)
+        self._appends.append((self._write(Append(tuple(entries))), entries[-1].index))
+        self._read_voters(first)
+
+    def _keep(self, snapshot: Snapshot) -> None:
+        self.log.take(snapshot)
+        seq = self._write(snapshot)
+        last = self.log.last_index
+        self.durable = min(self.durable, last)
+        self._appends = deque((s, min(at, last)) for s, at in self._appends)
+        self._appends.append((seq, snapshot.index))
+        self._read_voters(0)
+
+    def _read_voters(self, changed_from: int) -> None:
+        """Who votes, by the log as it is now; only a word on it, or the loss of one, changes that."""
+        if changed_from > self.voters_index and not any(
+            e.kind is Kind.VOTERS for e in self.log.after(max(changed_from - 1, self.log.base))
+        ):
+            return
+        self.voters, self.voters_index = self.log.voters()
+        if self.role is Role.LEADER:
+            following = self.log.last_index + 1
+            kept = {*self.voters, self.joining} - {"", self.name}
+            self.progress = {n: self.progress.get(n) or _Progress(following, self.heard_at) for n in kept}
+
+    def _send(self, to: str, message: Message, after: int) -> None:
+        """after: the write that must be on disk first; 0 for none."""
+        if after > self.synced:
+            self._held.append((after, to, message))
+        else:
+            self.out.append((to, message))
--- /dev/null
+++ b/badgerbend/duties/fence.py
@@ -0,0 +1,19 @@
+"""Who receives a duty's acts refuses one under an older epoch than it has seen. No clock is the guarantee; this is."""
+
+from __future__ import annotations
+
+
+class Fence:
+    """One receiver's, of all duties. What it has seen should outlive it where its effects do."""
+
+    def __init__(self) -> None:
+        self.newest: dict[str, int] = {}
+        self.refused = 0
+
+    def admits(self, duty: str, epoch: int) -> bool:
+        """Whether an act under this epoch may take effect; if so, none under an older one will again."""
+        if epoch < self.newest.get(duty, 0):
+            self.refused += 1
+            return False
+        self.newest[duty] = epoch
+        return True
--- /dev/null
+++ b/badgerbend/duties/keeper.py
@@ -0,0 +1,207 @@
+"""The leading voter's side of duties: who stands for them, when a lease is over, who is next. Pure.
+
+Renewals do not go through the log, so that hundreds of brokers cost it nothing. That is safe: one is answered only
+after a round of heartbeats that began after it came has confirmed the leader (`Raft.read`); whoever leads later was
+elected later than that, and waits a whole lease from then before it ends any.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+
+from badgerbend.duties.holder import Terms
+from badgerbend.duties.messages import Command, Free, Grant, Leave, Line, Stand, Want
+from badgerbend.duties.table import Table
+
+FRESH = 3.0  # a candidate not heard for so many times `ask_s` stands no more
+STEADY = 5.0  # leases: somebody better placed for so long is worth a hand-over, and no sooner after the last
+BARRED_MOST_S = 60.0  # a holder that failed is not chosen for a while, twice as long each time up to this
+LOAD_STEP = 10.0  # of what is open at a broker: less is no difference
+AGAIN_S = 1.0  # a command that has not come about is proposed again
+
+
+@dataclass(slots=True)
+class _Candidate:
+    near: bool
+    votes: bool
+    load: float
+    heard_at: float
+    failing: bool = False
+    fails: int = 0
+    barred_until: float = -math.inf
+
+    def place(self) -> tuple[bool, bool]:
+        """Less is better: at the duty's site, and no voter. Load is left out: it changes, and would flap."""
+        return (not self.near, self.votes)
+
+
+@dataclass(slots=True)
+class _Held:
+    """What time says of a lease."""
+
+    epoch: int
+    since: float
+    ends: float
+    closing: bool = False  # its end is on the way into the log: it is renewed no more
+    replaced: bool = False  # its holder failed: renewed no more either, and free once it has run out or is given back
+    failing_since: float = math.inf
+    better_since: float = math.inf
+
+
+class Keeper:
+    """One voter's; it does something only while that one leads."""
+
+    def __init__(self, table: Table, terms: Terms, seed: int) -> None:
+        self.table, self.terms, self.rng = table, terms, random.Random(seed)
+        self.leading, self.lead_at = False, math.inf
+        self.candidates: dict[str, dict[str, _Candidate]] = {}
+        self.holds: dict[str, _Held] = {}
+        self.proposed: dict[str, float] = {}  # a grant that is on the way, and when it is proposed again
+
+    # -- leading
+    def lead(self, now: float) -> None:
+        """Every lease runs a whole length from here: the last leader may have renewed it a moment ago."""
+        self.leading, self.lead_at = True, now
+        self.candidates, self.holds, self.proposed = {}, {}, {}
+        self.changed(now)
+
+    def rest(self) -> None:
+        self.leading = False
+
+    def changed(self, now: float) -> list[str]:
+        """The table has changed: the duties that have a new holder."""
+        new = []
+        for duty, lease in self.table.leases.items():
+            held = self.holds.get(duty)
+            if not lease.holder:
+                self.holds.pop(duty, None)
+            elif held is None or held.epoch != lease.epoch:
+                self.holds[duty] = _Held(lease.epoch, now, now + self._waited())
+                self.proposed.pop(duty, None)
+                new.append(duty)
+        return new
+
+    def _waited(self) -> float:
+        return self.terms.waited_s
+
+    # -- brokers
+    def want(self, now: float, want: Want) -> bool:
+        """A broker shows itself; whether there is something to renew, once this voter's lead is confirmed."""
+        renews = False
+        for stand in want.stands:
+            standing = self.candidates.setdefault(stand.duty, {})
+            one = standing.get(want.source)
+            if one is None:
+                one = standing[want.source] = _Candidate(stand.near, want.votes, want.load, now)
+            one.near, one.votes, one.load, one.heard_at = stand.near, want.votes, want.load, now
+            one.failing = stand.failing
+            renews |= self._holds(want.source, stand)
+        return renews
+
+    def renew(self, received: float, want: Want) -> list[Line]:
+        """The answer to a `want` that came then, now that the lead is confirmed."""
+        lines = []
+        for stand in want.stands:
+            lease, held = self.table.lease(stand.duty), self.holds.get(stand.duty)
+            renewed = yields = False
+            if held is not None and self._holds(want.source, stand) and not held.closing:
+                renewed = not held.replaced
+                yields = held.replaced or received - held.better_since > STEADY * self.terms.lease_s
+                held.ends = max(held.ends, received + self._waited()) if renewed else held.ends
+            lines.append(Line(stand.duty, lease.holder, lease.epoch, renewed, yields))
+        return lines
+
+    def lines(self, want: Want) -> list[Line]:
+        """The answer to a `want` that renews nothing."""
+        leases = [(stand.duty, self.table.lease(stand.duty)) for stand in want.stands]
+        return [Line(duty, lease.holder, lease.epoch, False, False) for duty, lease in leases]
+
+    def leave(self, leave: Leave) -> list[Command]:
+        """Leases given back end at once; who has gone is chosen no more."""
+        out: list[Command] = []
+        for duty, epoch in leave.held:
+            held, lease = self.holds.get(duty), self.table.lease(duty)
+            if held is not None and held.epoch == epoch and lease.holder == leave.source and not held.closing:
+                held.closing = True
+                out.append(Free(duty, epoch))
+        if leave.gone:
+            for standing in self.candidates.values():
+                standing.pop(leave.source, None)
+        return out
+
+    def _holds(self, name: str, stand: Stand) -> bool:
+        lease = self.table.lease(stand.duty)
+        return bool(stand.epoch) and lease.holder == name and lease.epoch == stand.epoch
+
+    # -- time
+    def due(self, now: float) -> list[Command]:
+        """What is to be proposed by now."""
+        out: list[Command] = []
+        for duty in sorted({*self.candidates, *self.table.leases}):
+            held = self.holds.get(duty)
+            if held is not None:
+                if now >= held.ends and not held.closing:
+                    held.closing = True
+                    out.append(Free(duty, held.epoch))
+                held.replaced = held.replaced or self._fails(now, duty, held)
+                self._compare(now, duty, held)
+            elif now >= self._settled() and now >= self.proposed.get(duty, -math.inf):
+                best = self._best(now, duty)
+                if best is not None:
+                    self.proposed[duty] = now + AGAIN_S
+                    out.append(Grant(duty, best, self.table.lease(duty).epoch))
+        return out
+
+    def refused(self, command: Command) -> None:
+        """A command did not get into the log: it may be proposed again."""
+        if isinstance(command, Free) and command.duty in self.holds:
+            self.holds[command.duty].closing = False
+        elif isinstance(command, Grant):
+            self.proposed.pop(command.duty, None)
+
+    def _settled(self) -> float:
+        """A new leader first hears who stands, or the first to be heard would win."""
+        return self.lead_at + self.terms.ask_s
+
+    def _standing(self, now: float, duty: str) -> dict[str, _Candidate]:
+        standing = self.candidates.get(duty, {})
+        for name in [n for n, c in standing.items() if now - c.heard_at > max(FRESH * self.terms.ask_s, BARRED_MOST_S)]:
+            del standing[name]
+        fresh = FRESH * self.terms.ask_s
+        return {n: c for n, c in standing.items() if now - c.heard_at <= fresh and now >= c.barred_until}
+
+    def _best(self, now: float, duty: str) -> str | None:
+        """The best placed of those who stand, the least loaded of these, ties at random."""
+        standing = self._standing(now, duty)
+        if not standing:
+            return None
+        ranks = {n: (*c.place(), int(c.load / LOAD_STEP)) for n, c in standing.items() if not c.failing}
+        ranks = ranks or {n: (*c.place(), int(c.load / LOAD_STEP)) for n, c in standing.items()}
+        least = min(ranks.values())
+        return self.rng.choice(sorted(n for n, rank in ranks.items() if rank == least))
+
+    def _fails(self, now: float, duty: str, held: _Held) -> bool:
+        """Whether a holder that is up has failed at its duty for a lease's length, and there is another to try."""
+        name = self.table.lease(duty).holder
+        one = self.candidates.get(duty, {}).get(name)
+        if one is None or not one.failing:
+            held.failing_since = math.inf
+            return False
+        held.failing_since = min(held.failing_since, now)
+        others = [n for n, c in self._standing(now, duty).items() if n != name and not c.failing]
+        if now - held.failing_since < self.terms.lease_s or not others:
+            return False
+        one.fails += 1
+        one.barred_until = now + min(self.terms.lease_s * 2.0**one.fails, BARRED_MOST_S)
+        return True
+
+    def _compare(self, now: float, duty: str, held: _Held) -> None:
+        standing = self._standing(now, duty)
+        holder = standing.get(self.table.lease(duty).holder)
+        better = holder is not None and any(c.place() < holder.place() for c in standing.values() if not c.failing)
+        if not better or now - held.since < STEADY * self.terms.lease_s:
+            held.better_since = math.inf
+        else:
+            held.better_since = min(held.better_since, now)
--- /dev/null
+++ b/badgerbend/duties/messages.py
@@ -0,0 +1,123 @@
+"""What brokers and voters say about duties, and the commands of the log; typed arrays in MessagePack, bounded."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from badgerbend.consensus.messages import MOST_COMMAND, Malformed, Number, Text, TextOrNone
+
+MOST_DUTIES = 16  # that one broker stands for: a message about all of them fits a datagram
+MOST_KEY, MOST_VALUE = 64, MOST_COMMAND - 200
+Load = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Key = Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_KEY)]
+
+# -- commands of the log
+
+
+class Grant(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """The duty is free, and `over` was its last epoch: it goes to `holder`, and the entry's index is its epoch."""
+
+    duty: Text
+    holder: Text
+    over: Number
+
+
+class Free(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """The lease of this epoch is over: its time has run out, or its holder gave it back."""
+
+    duty: Text
+    epoch: Number
+
+
+class Put(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """A fact that the fleet agrees on, as which version is in force. over: the index of the word it replaces, 0 where
+    there must be none. An empty value takes it back."""
+
+    key: Key
+    value: Annotated[bytes, msgspec.Meta(max_length=MOST_VALUE)]
+    over: Number
+
+
+Command = Grant | Free | Put
+
+# -- between brokers and voters
+
+
+class Stand(msgspec.Struct, array_like=True, frozen=True):
+    """A broker's word on one duty. epoch: of the lease it holds, 0 for none. near: whether it is at the duty's own
+    site. failing: it is up, but its acts come to nothing."""
+
+    duty: Text
+    epoch: Number
+    near: bool
+    failing: bool
+
+
+class Want(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """A broker stands for these duties, and renews what it holds of them. seq: of its own, sent back in the answer."""
+
+    source: Text
+    seq: Number
+    load: Load
+    votes: bool
+    stands: Annotated[tuple[Stand, ...], msgspec.Meta(max_length=MOST_DUTIES)]
+
+
+class Leave(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """A broker has stopped acting and gives leases back: duty and epoch. gone: it stands for nothing any more."""
+
+    source: Text
+    seq: Number
+    held: Annotated[tuple[tuple[Text, Number], ...], msgspec.Meta(max_length=MOST_DUTIES)]
+    gone: bool
+
+
+class Line(msgspec.Struct, array_like=True, frozen=True):
+    """Who holds a duty, by its leader. renewed: the lease runs anew from when the answered `Want` was sent.
+    yields: somebody better placed waits, the holder is asked to give it back."""
+
+    duty: Text
+    holder: TextOrNone
+    epoch: Number
+    renewed: bool
+    yields: bool
+
+
+class Told(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """A voter's answer. seq: of the `Want` or `Leave`, 0 where it comes unasked. leader: whom to ask; empty while there
+    is none. leads: whether that is the voter that speaks."""
+
+    source: Text
+    seq: Number
+    leader: TextOrNone
+    leads: bool
+    lines: Annotated[tuple[Line, ...], msgspec.Meta(max_length=MOST_DUTIES)]
+
+
+Message = Want | Leave | Told
+
+_encoder = msgspec.msgpack.Encoder()
+_command_decoder = msgspec.msgpack.Decoder(Command)
+_message_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(what: Message | Command) -> bytes:
+    return _encoder.encode(what)
+
+
+def decode(data: bytes) -> Message:
+    """Raises Malformed."""
+    try:
+        return _message_decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
+
+
+def decode_command(data: bytes) -> Command:
+    """Raises Malformed."""
+    try:
+        return _command_decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
--- /dev/null
+++ b/badgerbend/duties/voter.py
@@ -0,0 +1,145 @@
+"""One voter whole: agreement, the table of leases, and its keeper while this one leads. Pure.
+
+Time, messages of voters and brokers, and word of what reached the disk go in; what is to be written and sent comes out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus.log import Kept
+from badgerbend.consensus.raft import Applied, Confirmed, Follows, Leads, Raft, Tuning
+from badgerbend.duties.holder import Terms
+from badgerbend.duties.keeper import Keeper
+from badgerbend.duties.messages import Command, Leave, Line, Told, Want, encode
+from badgerbend.duties.table import Table
+
+DUE_S = 0.05  # how often a leader looks at leases: small beside any of them
+MOST_PENDING = 4096  # renewals that wait for their round
+
+
+@dataclass(slots=True)
+class Out:
+    """What a voter wants done, in this order. writes: numbered, to be told to `saved` once on disk."""
+
+    writes: list[tuple[int, voting.Record]] = field(default_factory=list)
+    to_voters: list[tuple[str, voting.Message]] = field(default_factory=list)
+    to_brokers: list[tuple[str, Told]] = field(default_factory=list)
+    notes: list[tuple[str, dict[str, object]]] = field(default_factory=list)  # for the log
+
+
+class Voter:
+    """`kept`: what its disk holds."""
+
+    raft_kind: type[Raft] = Raft
+    keeper_kind: type[Keeper] = Keeper
+    table_kind: type[Table] = Table
+
+    def __init__(self, name: str, kept: Kept, tuning: Tuning, terms: Terms, seed: int, now: float) -> None:
+        self.name, self.terms = name, terms
+        self.table = self.table_kind()
+        self.raft = self.raft_kind(name, kept, self.table, tuning, seed, now)
+        self.keeper = self.keeper_kind(self.table, terms, seed + 1)
+        self.told: list[tuple[str, Told]] = []
+        self.notes: list[tuple[str, dict[str, object]]] = []
+        self.pending: dict[int, tuple[float, Want]] = {}
+        self.renewals = 0
+        self._token = 0
+        self._due_at = now
+
+    # -- what happens
+    def from_voter(self, now: float, message: voting.Message) -> None:
+        self.raft.receive(now, message)
+        self._after(now)
+
+    def from_broker(self, now: float, message: Want | Leave) -> None:
+        if not self.leads:
+            self._tell(message, ())
+        elif isinstance(message, Leave):
+            self._propose(now, self.keeper.leave(message))
+            self._tell(message, ())
+        elif not self.keeper.want(now, message):
+            self._tell(message, self.keeper.lines(message))
+        elif len(self.pending) < MOST_PENDING:
+            self._token += 1
+            if self.raft.read(now, self._token):
+                self.pending[self._token] = (now, message)
+        self._after(now)
+
+    def saved(self, now: float, seq: int) -> None:
+        """All writes up to this one are on disk, for good."""
+        self.raft.saved(now, seq)
+        self._after(now)
+
+    def tick(self, now: float) -> None:
+        self.raft.tick(now)
+        if self.leads and now >= self._due_at:
+            self._due_at = now + DUE_S
+            self._propose(now, self.keeper.due(now))
+        self._after(now)
+
+    @property
+    def next_at(self) -> float:
+        return min(self.raft.next_at, self._due_at) if self.leads else self.raft.next_at
+
+    @property
+    def leads(self) -> bool:
+        return self.keeper.leading and self.raft.ready
+
+    def put(self, now: float, command: Command) -> int | None:
+        """Proposes a command of the owner's; its index, or None where this voter does not lead."""
+        index = self.raft.propose(now, encode(command))
+        self._after(now)
+        return index
+
+    def take(self) -> Out:
+        writes, to_voters, _ = self.raft.take()
+        out = Out(writes, to_voters, self.told, self.notes)
+        self.told, self.notes = [], []
+        return out
+
+    # -- inside
+    def _propose(self, now: float, commands: list[Command]) -> None:
+        for command in commands:
+            if self.raft.propose(now, encode(command)) is None:
+                self.keeper.refused(command)
+
+    def _after(self, now: float) -> None:
+        """Events of the log, in their order, as often as one brings more."""
+        while self.raft.events:
+            events, self.raft.events = self.raft.events, []
+            for event in events:
+                match event:
+                    case Leads(term):
+                        self.keeper.lead(now)
+                        self._due_at = now
+                        self.notes.append(("leads", {"term": term}))
+                    case Follows(term, leader):
+                        self.keeper.rest()
+                        self.pending = {}
+                        self.notes.append(("follows", {"term": term, "leader": leader}))
+                    case Confirmed(token):
+                        self._confirmed(token)
+                    case Applied():
+                        self._applied(now)
+
+    def _confirmed(self, token: int) -> None:
+        received, want = self.pending.pop(token, (0.0, None))
+        if want is not None:
+            self.renewals += 1
+            self._tell(want, tuple(self.keeper.renew(received, want)))
+
+    def _applied(self, now: float) -> None:
+        if not self.keeper.leading:
+            return
+        for duty in self.keeper.changed(now):
+            lease = self.table.lease(duty)
+            self.notes.append(("granted", {"duty": duty, "holder": lease.holder, "epoch": lease.epoch}))
+            line = Line(duty, lease.holder, lease.epoch, False, False)
+            self.told.append((lease.holder, Told(self.name, 0, self.name, True, (line,))))
+        self._due_at = now  # a duty that fell free is given on at once
+
+    def _tell(self, to: Want | Leave, lines: tuple[Line, ...] | list[Line]) -> None:
+        leader = self.raft.leader if not self.leads else self.name
+        self.told.append((to.source, Told(self.name, to.seq, leader, self.leads, tuple(lines))))
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,154 @@
+"""Defects that the checks of simulated voters must catch, each by its name: what `tests/simvoters.py` is worth."""
+
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus.raft import Confirmed, Raft, Role
+from badgerbend.duties.fence import Fence
+from badgerbend.duties.holder import Holder
+from badgerbend.duties.keeper import Keeper
+from badgerbend.duties.table import Table
+from badgerbend.duties.voter import Voter
+from tests.simvoters import Chaos
+
+
+class CountsTwice(Raft):
+    def _vote_for_me(self, now, name):
+        if not self.votes:
+            self.heard = []
+        self.votes.add(name)
+        self.heard.append(name)
+        if 2 * len(self.heard) > len(self.voters):
+            self._stand(now) if self.role is Role.ASKING else self._lead(now)
+
+
+class VotesBeforeTheDisk(Raft):
+    def _send(self, to, message, after):
+        super()._send(to, message, 0 if isinstance(message, voting.Voted) else after)
+
+
+class AcknowledgesBeforeTheDisk(Raft):
+    def _send(self, to, message, after):
+        super()._send(to, message, 0 if isinstance(message, voting.Fed) else after)
+
+
+class CountsOwnBeforeTheDisk(Raft):
+    def _advance(self, now):
+        kept, self.durable = self.durable, self.log.last_index
+        super()._advance(now)
+        self.durable = kept
+
+
+class CommitsAnEarlierTerm(Raft):
+    def _countable(self, index):
+        return True
+
+
+class TakesAnyLog(Raft):
+    """Votes for a candidate that has less than itself."""
+
+    def _asked(self, now, m):
+        super()._asked(now, voting.AskVote(m.term, m.source, 1 << 40, 1 << 40, m.pre, m.ceded))
+
+
+class ReadsWithoutARound(Raft):
+    def read(self, now, token):
+        if self.ready:
+            self.events.append(Confirmed(token))
+        return self.ready
+
+
+class HoldsTheWholeLease(Holder):
+    def _window(self):
+        return self.terms.lease_s
+
+
+class CountsFromTheAnswer(Holder):
+    def told(self, now, message):
+        if message.seq in self._sent:
+            self._sent[message.seq] = now
+        super().told(now, message)
+
+
+class NoticesNoStall(Holder):
+    """Acts by the time of its last look at the clock."""
+
+    def _notice(self, now):
+        pass
+
+    def tick(self, now):
+        super().tick(now)
+        self._alive_at = now
+
+    def may_act(self, now, duty):
+        return super().may_act(self._alive_at, duty)
+
+
+class TakesBackWhatItGave(Holder):
+    def _line(self, now, line, sent):
+        if line.duty in self.duties:
+            self.duties[line.duty].given = 0
+        super()._line(now, line, sent)
+
+
+class WaitsForNobody(Keeper):
+    """A new leader ends leases as if it had renewed none, though the last one did."""
+
+    def lead(self, now):
+        super().lead(now)
+        for held in self.holds.values():
+            held.ends = now
+
+
+class WaitsNoLonger(Keeper):
+    def _waited(self):
+        return self.terms.lease_s
+
+
+class RenewsWhatEnds(Keeper):
+    def renew(self, received, want):
+        for held in self.holds.values():
+            held.closing = False
+        return super().renew(received, want)
+
+
+class LosesALease(Table):
+    def dump(self):
+        gone = Table()
+        gone.leases, gone.facts = dict(list(self.leases.items())[:-1]), self.facts
+        return Table.dump(gone)
+
+
+class AdmitsAll(Fence):
+    def admits(self, duty, epoch):
+        return True
+
+
+def voter(raft=Raft, keeper=Keeper, table=Table):
+    return type("Mutant", (Voter,), {"raft_kind": raft, "keeper_kind": keeper, "table_kind": table})
+
+
+DRIFT = Chaos(rate=0.1, rate_claimed=0.1)
+FIVE = Chaos(voters=5, brokers=2, duplicates=0.3, loss=0.15, every_s=0.3)
+DISKS = Chaos(sync=(0.01, 0.3), slow_sync=0.2, every_s=0.25, brokers=2)
+NETS = Chaos(voters=5, brokers=2, loss=0.2, late=0.2, every_s=0.25)
+STALLS = Chaos(every_s=0.25, troubles=("stall", "cut", "oneway"))
+LATE = Chaos(late=0.2, late_s=0.5, every_s=0.4)
+FULL = Chaos(compact=6, every_s=0.4)
+
+# name: what replaces the product's classes, and the chaos in which it shows
+MUTANTS = {
+    "a vote counted twice": ({"voter": voter(CountsTwice)}, FIVE),
+    "a vote not synced": ({"voter": voter(VotesBeforeTheDisk)}, DISKS),
+    "entries not synced": ({"voter": voter(AcknowledgesBeforeTheDisk)}, DISKS),
+    "own entries not synced": ({"voter": voter(CountsOwnBeforeTheDisk)}, DISKS),
+    "an earlier term committed by counting": ({"voter": voter(CommitsAnEarlierTerm)}, NETS),
+    "a vote for a shorter log": ({"voter": voter(TakesAnyLog)}, NETS),
+    "a read without a round": ({"voter": voter(ReadsWithoutARound)}, STALLS),
+    "a lease not shortened by drift": ({"holder": HoldsTheWholeLease, "voter": voter(keeper=WaitsNoLonger)}, DRIFT),
+    "a lease counted from its answer": ({"holder": CountsFromTheAnswer}, Chaos(late=0.2, every_s=0.3)),
+    "a stall not noticed": ({"holder": NoticesNoStall}, STALLS),
+    "a lease taken back after it was given": ({"holder": TakesBackWhatItGave}, LATE),
+    "a new leader that does not wait": ({"voter": voter(keeper=WaitsForNobody)}, Chaos(every_s=0.4)),
+    "a lease renewed while it ends": ({"voter": voter(keeper=RenewsWhatEnds)}, STALLS),
+    "a snapshot that loses a lease": ({"voter": voter(table=LosesALease)}, FULL),
+    "an epoch not checked": ({"fence": AdmitsAll}, Chaos()),
+}
--- /dev/null
+++ b/tests/test_agreement.py
@@ -0,0 +1,315 @@
+"""Agreement and leases: what must hold under everything that chance brings, and the defects that must be seen."""
+
+import pytest
+
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus import raft as raft_module
+from badgerbend.consensus.log import Kept, Log
+from badgerbend.consensus.raft import Applied, Confirmed, Leads, Raft, Role, Tuning
+from badgerbend.duties.holder import Holder, Terms
+from badgerbend.duties.messages import Free, Grant, Line, Put, Told, encode
+from badgerbend.duties.table import Lease, Table
+from tests.modelvoters import NAMES, State, search
+from tests.mutants import MUTANTS, CommitsAnEarlierTerm, VotesBeforeTheDisk
+from tests.simvoters import Broken, Chaos, World
+
+# -- in simulated time
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_whatever_chance_brings_nothing_breaks_and_all_comes_back(seed):
+    chaos = Chaos(voters=5) if seed % 4 == 3 else Chaos()
+    world = World(seed, chaos)
+    world.run(8)
+    world.heal()
+    world.run(8)
+    assert world.settled() and world.acts > 1000 and world.elections
+
+
+# -- every interleaving, and the scenario of the thesis's figure 3.7
+
+
+def test_every_interleaving_of_three_voters_to_a_depth():
+    assert search(8) == 6148  # a change of this figure is a change of what voters do: look at it
+
+
+def test_a_vote_that_does_not_wait_for_the_disk_is_found():
+    with pytest.raises(Broken, match="term 1 is led by a and by"):
+        search(9, VotesBeforeTheDisk)
+
+
+def figure_8(kind, monkeypatch):
+    """A leader finds an entry of an earlier term on most voters; another, who never had it, leads after it."""
+    monkeypatch.setattr(raft_module, "MOST_BYTES", raft_module.HEAD_BYTES)  # one entry a message
+    state = State(kind)
+    state.left = {"stand": 9, "propose": 0, "crash": 0}
+
+    def deliver(to, *kinds, source=None):
+        nonlocal state
+        rows = [(n, d) for n, d in state.net if n == to and isinstance(voting.decode(d), kinds)]
+        rows = [r for r in rows if source is None or voting.decode(r[1]).source == source]
+        assert rows, (to, kinds, [(n, voting.decode(d)) for n, d in state.net])
+        newest = max(rows, key=lambda r: (voting.decode(r[1]).term, getattr(voting.decode(r[1]), "beat", 0)))
+        state = state.do(("deliver", newest))
+        state = state.do(("sync", to))
+
+    def lead(name, times):
+        nonlocal state
+        for _ in range(times):
+            state = state.do(("stand", name))
+        state = state.do(("sync", name))
+        deliver("b", voting.AskVote, source=name)
+        deliver(name, voting.Voted, source="b")
+        assert state.rafts[name].role is Role.LEADER
+
+    lead("a", 1)
+    lead("c", 2)
+    lead("a", 2)
+    for _ in range(2):  # the refusal that tells where to begin, then the entry of term 1
+        deliver("b", voting.Feed, source="a")
+        deliver("a", voting.Fed, source="b")
+    assert state.rafts["b"].log.last_term == 1 and state.rafts["a"].term == 3
+    lead("c", 2)
+    while state.rafts["c"].commit < 2:
+        deliver("b", voting.Feed, source="c")
+        deliver("c", voting.Fed, source="b")
+    return state
+
+
+def test_an_entry_of_an_earlier_term_is_not_committed_by_counting(monkeypatch):
+    state = figure_8(Raft, monkeypatch)
+    assert state.rafts["a"].commit == 0 and state.rafts["c"].commit == 2
+    with pytest.raises(Broken, match="committed another entry 1"):
+        figure_8(CommitsAnEarlierTerm, monkeypatch)
+
+
+# -- one at a time
+
+
+class Circle:
+    """Voters on perfect links and disks; time moves by hand."""
+
+    def __init__(self, names=NAMES, compact=10**6, others=()):
+        self.now, self.tuning = 0.0, Tuning(1.0, 0.2, compact)
+        self.cut, self.events = set(), {n: [] for n in (*names, *others)}
+        self.tables = {n: Table() for n in self.events}
+        self.rafts = {
+            n: Raft(n, Kept(log=Log(voting.Snapshot(0, 0, names if n in names else (), b""))), self.tables[n],
+                    self.tuning, i, 0.0)
+            for i, n in enumerate(self.events)
+        }  # fmt: skip
+
+    def settle(self):
+        moved = True
+        while moved:
+            moved = False
+            for name, raft in self.rafts.items():
+                writes, messages, events = raft.take()
+                self.events[name] += events
+                if writes:
+                    raft.saved(self.now, writes[-1][0])
+                for to, message in messages:
+                    if to in self.rafts and not {name, to} & self.cut:
+                        self.rafts[to].receive(self.now, voting.decode(voting.encode(message)))
+                moved = moved or bool(writes or messages or events)
+
+    def run(self, seconds, step=0.05):
+        for _ in range(round(seconds / step)):
+            self.now += step
+            for raft in self.rafts.values():
+                if self.now >= raft.next_at:
+                    raft.tick(self.now)
+            self.settle()
+
+    def leader(self):
+        found = [r for n, r in self.rafts.items() if r.ready and n not in self.cut]
+        assert len(found) == 1
+        return found[0]
+
+    def put(self, key, value=b"1", over=0):
+        index = self.leader().propose(self.now, encode(Put(key, value, over)))
+        self.settle()
+        return index
+
+
+def test_one_leads_and_what_it_acknowledged_is_everywhere():
+    circle = Circle()
+    circle.run(5)
+    index = circle.put("version", b"7")
+    circle.run(1)
+    assert {t.facts["version"].value for t in circle.tables.values()} == {b"7"}
+    leader = circle.leader()
+    assert sum(isinstance(e, Leads) for es in circle.events.values() for e in es) == 1
+    assert [e.entry.index for e in circle.events[leader.name] if isinstance(e, Applied)][-1] == index
+    circle.put("version", b"8", over=index)
+    circle.put("version", b"9", over=index)  # somebody was faster
+    assert circle.tables[leader.name].facts["version"].value == b"8"
+    circle.put("version", b"", over=index + 1)
+    assert not circle.tables[leader.name].facts
+
+
+def test_a_leader_that_is_cut_off_steps_down_and_confirms_nothing():
+    circle = Circle()
+    circle.run(5)
+    old = circle.leader()
+    assert old.read(circle.now, 1)
+    circle.run(0.3)
+    assert Confirmed(1) in circle.events[old.name]
+    circle.cut = {old.name}
+    assert old.read(circle.now, 2) and old.propose(circle.now, encode(Put("k", b"v", 0)))
+    circle.run(6)
+    assert old.role is not Role.LEADER and Confirmed(2) not in circle.events[old.name]
+    new, term = circle.leader(), circle.leader().term
+    circle.put("other")
+    circle.cut = set()
+    circle.run(3)
+    assert circle.leader() is new and new.term == term  # who was cut off disturbed nobody on its return
+    assert [set(t.facts) for t in circle.tables.values()] == [{"other"}] * 3
+
+
+def test_leadership_is_handed_over_without_a_pause():
+    circle = Circle()
+    circle.run(5)
+    old = circle.leader()
+    to = next(n for n in NAMES if n != old.name)
+    before = circle.now
+    assert old.transfer(circle.now, to) and old.propose(circle.now, encode(Put("k", b"v", 0))) is None
+    circle.settle()
+    assert circle.leader().name == to and circle.now == before
+    assert not circle.rafts[old.name].transfer(circle.now)
+
+
+def test_a_newcomer_is_fed_by_snapshot_and_votes_and_one_that_left_is_not_missed():
+    circle = Circle(compact=20, others=("d",))
+    circle.run(5)
+    for i in range(150):
+        circle.put(f"fact-{i}", b"x" * 40)
+    leader = circle.leader()
+    assert leader.log.base > 100 and len(leader.log.snapshot.state) > 4 * voting.MOST_BYTES
+    gone = next(n for n in NAMES if n != leader.name)
+    assert leader.change(circle.now, "d", True) is None
+    assert leader.change(circle.now, gone, False) == "another change is under way"
+    circle.run(3)
+    assert circle.rafts["d"].voters == (*NAMES, "d") and len(circle.tables["d"].facts) == 150
+    assert leader.change(circle.now, gone, False) is None
+    circle.run(1)
+    circle.cut = {gone, next(n for n in NAMES if n not in (gone, leader.name))}
+    circle.put("after")
+    circle.run(0.5)  # a follower learns of a commit with the next heartbeat
+    assert "after" in circle.tables["d"].facts  # two of three: the newcomer's vote counts, the old one's does not
+    assert leader.change(circle.now, gone, False) == "nothing to change"
+
+
+def test_a_leader_that_removes_itself_leads_to_the_end_of_that_and_no_further():
+    circle = Circle()
+    circle.run(5)
+    old = circle.leader()
+    assert old.change(circle.now, old.name, False) is None
+    circle.run(6)
+    new = circle.leader()
+    assert new is not old and set(new.voters) == set(NAMES) - {old.name}
+    for name in list(new.voters):
+        if name != new.name:
+            assert new.change(circle.now, name, False) is None
+            circle.run(1)
+    assert new.change(circle.now, new.name, False) == "the last voter stays"
+
+
+def test_a_single_voter_leads_and_commits_by_its_own_disk():
+    circle = Circle(("a",))
+    circle.run(3)
+    circle.put("k")
+    assert circle.tables["a"].facts and circle.leader().read(circle.now, 1)
+    circle.run(0.3)
+    assert Confirmed(1) in circle.events["a"]
+
+
+def test_what_is_no_message_is_refused():
+    good = voting.Feed(1, "a", 0, 0, (voting.Entry(1, 1, voting.Kind.VOTERS, voting.encode_names(NAMES)),), 0, 0)
+    assert voting.decode(voting.encode(good)) == good
+    spoilt = [
+        voting.Feed(1, "a", 5, 0, (voting.Entry(1, 1, voting.Kind.NOOP),), 0, 0),
+        voting.Feed(1, "a", 0, 0, (voting.Entry(1, 1, voting.Kind.VOTERS, b"?"),), 0, 0),
+        voting.Voted(1 << 63, "a", False, True),
+        voting.Voted(1, "", False, True),
+    ]
+    for message in (*map(voting.encode, spoilt), b"", b"\xff", b"[]", voting.encode(good)[:-1]):
+        with pytest.raises(voting.Malformed):
+            voting.decode(message)
+
+
+# -- the table, and a broker's side
+
+
+def test_the_table_takes_only_what_fits_it():
+    table = Table()
+    table.apply(3, encode(Grant("probe", "b0", 0)))
+    table.apply(4, encode(Grant("probe", "b1", 0)))  # held
+    table.apply(5, encode(Free("probe", 4)))  # of another epoch
+    table.apply(6, b"of a later version")
+    assert table.lease("probe") == Lease("b0", 3)
+    table.apply(7, encode(Free("probe", 3)))
+    table.apply(8, encode(Grant("probe", "b1", 0)))  # decided before the last holder was known
+    assert table.lease("probe") == Lease("", 3)
+    table.apply(9, encode(Grant("probe", "b1", 3)))
+    copy = Table()
+    copy.load(table.dump())
+    assert copy.lease("probe") == Lease("b1", 9) and copy.dump() == table.dump()
+
+
+def holder(now=0.0):
+    one = Holder("b0", {"probe": True}, ("v0", "v1"), Terms(), 1, now)
+    one.tick(now + 1.0)
+    return one, one.take()[0][1].seq
+
+
+def told(seq, epoch=5, renewed=True, holder="b0", yields=False):
+    return Told("v0", seq, "v0", True, (Line("probe", holder, epoch, renewed, yields),))
+
+
+def test_a_grant_alone_lets_nobody_act_and_a_renewal_counts_from_its_request():
+    one, seq = holder()
+    one.told(1.1, told(0, renewed=False))
+    assert one.may_act(1.1, "probe") is None and one.next_at == 1.1
+    one.tick(1.1)
+    (_, want) = one.take()[0]
+    assert want.stands[0].epoch == 5
+    one.told(1.4, told(want.seq))
+    assert one.may_act(1.4, "probe") == 5 and one.may_act(1.8, "probe") == 5
+    for at in range(19, 30):
+        one.tick(at / 10)
+    assert one.may_act(1.1 + 2.0 * 0.99 - 0.001, "probe") == 5
+    assert one.may_act(1.1 + 2.0 * 0.99 + 0.001, "probe") is None
+    one.told(3.1, told(12345))  # an answer to no request of this life
+    assert one.may_act(3.1, "probe") is None
+
+
+def test_after_a_stall_only_what_is_asked_after_it_counts():
+    one, seq = holder()
+    one.told(1.1, told(seq))
+    assert one.may_act(1.1, "probe") == 5
+    assert one.may_act(1.7, "probe") is None  # 600 ms without a look at the clock
+    one.told(1.75, told(seq))
+    assert one.may_act(1.75, "probe") is None
+    one.tick(1.8)
+    one.told(1.9, told(one.take()[-1][1].seq))
+    assert one.may_act(1.9, "probe") == 5
+
+
+def test_what_was_given_back_is_not_taken_up_again():
+    one, seq = holder()
+    one.told(1.1, told(seq))
+    one.told(1.2, told(0, renewed=False, yields=True))
+    leaves = [m for _, m in one.take()]
+    assert one.may_act(1.2, "probe") is None and {m.held for m in leaves} == {(("probe", 5),)} and len(leaves) == 2
+    one.told(1.3, told(seq))
+    assert one.may_act(1.3, "probe") is None and not one.held()
+    one.told(1.3, told(seq, epoch=9))
+    assert one.may_act(1.3, "probe") == 9
+    one.leave(1.4)
+    one.told(1.45, told(seq, epoch=11))
+    assert one.may_act(1.45, "probe") is None and one.next_at == float("inf")
+
+
+def test_each_defect_has_a_name_and_a_scene_of_its_own():
+    assert len({id(chaos) for _, chaos in MUTANTS.values()}) > 5 and all(kinds for kinds, _ in MUTANTS.values())
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -16,6 +16,9 @@
     "discovery": {"api", "config", "net"},
     "graphql": {"api", "config", "net", "runtime"},
     "membership": set(),
+    "consensus": set(),
+    "duties": {"consensus"},
+    "ledger": {"consensus"},
     "knowledge": {"api"},
     "snapshot": {"knowledge"},
     "peering": {
@@ -31,6 +34,8 @@
     "platform": {"api", "discovery", "facts", "frames", "logic", "net", "runtime"},
 }  # fmt: skip
 PURE = (
+    "consensus/log.py", "consensus/messages.py", "consensus/raft.py", "duties/fence.py", "duties/holder.py",
+    "duties/keeper.py", "duties/messages.py", "duties/table.py", "duties/voter.py",
     "config/sexpr.py", "config/decode.py", "discovery/directory.py", "discovery/lines.py", "frames/codec.py",
     "platform/names.py", "knowledge/record.py", "knowledge/trust.py",
     "membership/messages.py", "membership/swim.py", "runtime/ports.py", "graphql/checks.py", "graphql/selection.py",
