--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -23,6 +24,7 @@
 from badgerbend.net.client import Pool, PoolLimits
 from badgerbend.net.server import Exchange, HttpServer, ServerLimits
 from badgerbend.peering.service import Learning, OwnAnswers
+from badgerbend.rota.service import Rota
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.loop import LoopSchedule
 from badgerbend.sites.tiers import Tiers
@@ -48,13 +50,17 @@
 class Broker:
     """Built and used on one running loop. Baselines put others in the place of `decisions`, `tiers` and `preference`.
 
-    folder: what files named in the settings are relative to. Raises ValueError or OSError for a sites' key.
+    folder: what files named in the settings are relative to. clock: of its duties, in seconds. Raises ValueError or
+    OSError for a sites' key, BadKey for that of the duties.
     """
 
     decisions = Aggregator
     tiers = Tiers
 
-    def __init__(self, settings: Settings, graph: Subgraph, folder: Path = Path()) -> None:  # noqa: B008
+    def __init__(
+        self, settings: Settings, graph: Subgraph, folder: Path = Path(),  # noqa: B008
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:  # fmt: skip
         loop = asyncio.get_running_loop()
         self.settings, self.loop = settings, loop
         self.log = get(part="broker")
@@ -89,6 +95,9 @@
         if settings.peers is not None or settings.snapshot is not None:
             self.learning = Learning(settings, self.driver, self.directory, self.metrics.trouble)
             answers.learning = self.learning
+        self.rota: Rota | None = None
+        if settings.duties is not None:
+            self.rota = Rota(settings, settings.duties, folder, self.driver, self.directory, self._pool, clock)
         self.schedule.turn = self.driver.turn
         self.front = GraphQLFront(settings, graph, self.driver, self.schedule.now_ms)
         self.server = HttpServer(
@@ -108,10 +117,13 @@
         return self.siting.tiers if self.siting is not None else None
 
     async def start(self) -> int:
-        """Listens and begins to follow the list; returns the port. Raises OSError where it cannot listen."""
+        """Listens and begins to follow the list; returns the port. Raises OSError where it cannot listen, BadKey,
+        BadStore."""
         self.port = await self.server.start(self.settings.listen.host, self.settings.listen.port)
         if self.learning is not None:
             await self.learning.start()
+        if self.rota is not None:
+            await self.rota.start()
         self.watch.start()
         if self.siting is not None:
             self.siting.start()
@@ -124,6 +136,8 @@
     async def stop(self) -> int:
         """Stops listening, lets what is held end, within `stop-timeout-ms`; returns how many were cut."""
         began = self.loop.time()
+        if self.rota is not None:
+            await self.rota.close()  # first: others wait for what it holds
         cut = await self.server.close(self.settings.listen.stop_timeout_ms / 1000.0)
         self.watch.close()
         if self.siting is not None:
@@ -147,6 +161,8 @@
         elif path == b"/peers":
             status = self.learning.status() if self.learning is not None else {"members": []}
             exchange.respond(200, msgspec.json.encode(status), b"application/json")
+        elif path.startswith(b"/duties"):
+            self._duties(exchange, path)
         elif path.startswith(b"/sites") and self.siting is not None:
             self.siting.handle(exchange)
         elif path == b"/ready":
@@ -155,6 +171,21 @@
         else:
             exchange.respond(404, b"not found; GraphQL is at /graphql\n", b"text/plain")
 
+    def _duties(self, exchange: Exchange, path: bytes) -> None:
+        """What is held, for anybody; commands for those who send the key."""
+        if self.rota is None:
+            exchange.respond(404, b"no duties are set\n", b"text/plain")
+        elif path == b"/duties":
+            exchange.respond(200, msgspec.json.encode(self.rota.status()), b"application/json")
+        elif exchange.method != b"POST":
+            exchange.respond(405, b"POST it\n", b"text/plain", ((b"allow", b"POST"),))
+        elif not self.rota.allows(exchange.headers.get(b"authorization", b"")):
+            exchange.respond(403, b"the duties' key is wanted, as a bearer token\n", b"text/plain")
+        else:
+            status, word = self.rota.command(path.removeprefix(b"/duties/").decode("latin-1"))
+            body = msgspec.json.encode({"said": word}) if status == 200 else word.encode() + b"\n"
+            exchange.respond(status, body, b"application/json" if status == 200 else b"text/plain")
+
     def _taken(self) -> None:
         """A list is in force: what hangs on the whole of it."""
         states = [known.line.state for known in self.directory.known.values()]
@@ -206,5 +237,7 @@
             if socket is not None:
                 for which, n in (("sent", socket.sent), ("received", socket.received), ("refused", socket.refused)):
                     m.datagrams.labels(which).set(n)
+        if self.rota is not None:
+            self.rota.gauges(m)
         if self.watch.heard_at is not None:
             m.list_age.set(self.loop.time() - self.watch.heard_at)
--- a/badgerbend/cli.py
+++ b/badgerbend/cli.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
-import signal
 import sys
 import time
 from collections.abc import Coroutine
@@ -16,19 +14,19 @@
 from rich.console import Console
 from rich.table import Table
 
-from badgerbend import log
-from badgerbend.broker import Broker, read_subgraph, settle_memory
+from badgerbend.broker import Broker, read_subgraph
+from badgerbend.cli_duties import duties, voters
 from badgerbend.config import decode
 from badgerbend.config.settings import Settings, load
 from badgerbend.config.sexpr import SettingsError
 from badgerbend.graphql.schema import SchemaError, Subgraph
 from badgerbend.knowledge.record import Record
-from badgerbend.membership.seal import BadKey
+from badgerbend.net.fetch import fetch
+from badgerbend.process import BAD_SETTINGS, CANNOT_START, serve, stop
 from badgerbend.snapshot.store import BadSnapshot, read
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="An aggregator that spreads queries over shards.")
 Config = Annotated[Path, typer.Argument(help="The settings file.")]
-BAD_SETTINGS, CANNOT_START = 2, 3
 
 
 def main() -> None:
@@ -40,48 +38,15 @@
         settings = load(config)
         return settings, read_subgraph(settings, config)
     except SettingsError as err:
-        _stop(str(err), BAD_SETTINGS)
+        stop(str(err), BAD_SETTINGS)
     except (SchemaError, OSError, UnicodeDecodeError) as err:
-        _stop(f"{config}: schema: {err}", BAD_SETTINGS)
-    raise AssertionError
-
-
-def _stop(text: str, status: int) -> None:
-    print(f"badgerbend: {text}", file=sys.stderr)
-    raise typer.Exit(status)
+        stop(f"{config}: schema: {err}", BAD_SETTINGS)
 
 
 def _run(main: Coroutine[Any, Any, int]) -> None:
     raise typer.Exit(uvloop.run(main))
 
 
-async def until_told() -> None:
-    """Until an interrupt or a request to end."""
-    told = asyncio.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        asyncio.get_running_loop().add_signal_handler(number, told.set)
-    await told.wait()
-
-
-async def serve(kind: type[Broker], settings: Settings, graph: Subgraph, folder: Path) -> int:
-    """Runs one broker until told to end; the status to exit with."""
-    log.configure(settings.log)
-    try:
-        broker = kind(settings, graph, folder)
-    except (OSError, ValueError) as err:
-        print(f"badgerbend: cannot start: {err}", file=sys.stderr)
-        return CANNOT_START
-    try:
-        await broker.start()
-    except (OSError, BadKey) as err:
-        print(f"badgerbend: cannot listen: {err}", file=sys.stderr)
-        return CANNOT_START
-    settle_memory()
-    await until_told()
-    await broker.stop()
-    return 0
-
-
 @app.command()
 def run(config: Config) -> None:
     """Runs a broker until it is interrupted or told to end."""
@@ -123,7 +88,7 @@
         document = Path(text[1:]).read_text(encoding="utf-8") if text.startswith("@") else text
         given = json.loads(variables)
     except (OSError, ValueError) as err:
-        _stop(str(err), BAD_SETTINGS)
+        stop(str(err), BAD_SETTINGS)
 
     async def ask() -> int:
         headers = {"badgerbend-time-left-ms": str(time_left_ms)} | ({"badgerbend-tenant": tenant} if tenant else {})
@@ -147,12 +112,10 @@
     host: Annotated[str, typer.Option(help="The broker's host.")] = "127.0.0.1",
 ) -> None:
     """Shows whom a broker holds for alive, and what it has learned."""
-    from badgerbend.standin.client import fetch
-
     try:
         status = uvloop.run(fetch(port, "/peers", host))
     except ConnectionError as err:
-        _stop(f"no answer from {host}:{port}: {err}", CANNOT_START)
+        stop(f"no answer from {host}:{port}: {err}", CANNOT_START)
     table = Table(title=f"pulls {status.get('pulls', 0)}, servers learned {status.get('learned', 0)}")
     for heading in ("name", "address", "state", "incarnation", "believed"):
         table.add_column(heading)
@@ -187,12 +150,13 @@
     try:
         return read(file, time.time())
     except (BadSnapshot, OSError) as err:
-        _stop(f"{file}: {err}", BAD_SETTINGS)
-    raise AssertionError
+        stop(f"{file}: {err}", BAD_SETTINGS)
 
 
 sites = typer.Typer(no_args_is_help=True, help="Sites: what a broker holds of them, and work moved by hand.")
 app.add_typer(sites, name="site")
+app.add_typer(duties, name="duties")
+app.add_typer(voters, name="voters")
 Ports = Annotated[list[int], typer.Option("--port", help="A broker's port; give it for each broker.")]
 Key = Annotated[Path, typer.Option(help="The file with the sites' key.")]
 
@@ -216,8 +180,6 @@
 
 
 def _sites(asks: list[tuple[int, str, str, Path | None]], host: str) -> None:
-    from badgerbend.standin.client import fetch
-
     failed = 0
     for port, method, path, key in asks:
         try:
@@ -274,7 +236,7 @@
     """Runs stand-in rate servers and their list, for a broker started by `run`."""
     from badgerbend.standin.demo import run_fleet
 
-    _run(run_fleet(shards, cells, reach, servers, zones, registry_port, until_told))
+    _run(run_fleet(shards, cells, reach, servers, zones, registry_port))
 
 
 @app.command()
@@ -293,7 +255,7 @@
     try:
         plan = load_day(file)
     except SettingsError as err:
-        _stop(str(err), BAD_SETTINGS)
+        stop(str(err), BAD_SETTINGS)
     result = uvloop.run(play(plan, file, keep, policy))
     console = Console(width=110)
     table = Table(title=f"{file}: {plan.seconds:g} s, {plan.brokers} brokers, {plan.servers} servers (loopback)")
--- a/badgerbend/config/settings.py
+++ b/badgerbend/config/settings.py
@@ -190,9 +190,7 @@
         if not 1 <= len(self.key) <= 2:
             raise ValueError("key takes one file, or two while one key replaces the other")
         for seed in self.seed:
-            host, _, port = seed.rpartition(":")
-            if not host or not port.isdigit() or not 0 < int(port) < 65536:
-                raise ValueError(f"seed {seed} is not HOST:PORT")
+            _host_port(seed, "seed")
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -270,6 +268,71 @@
         return next((s for s in self.site if zone in s.zones), None)
 
 
+def _host_port(text: str, what: str) -> None:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{what} {text} is not HOST:PORT")
+
+
+class VoterAt(msgspec.Struct, frozen=True):
+    """A broker that votes, and the UDP address where others reach it."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    address: Name
+
+    def __post_init__(self) -> None:
+        _host_port(self.address, "address")
+
+
+class Duties(msgspec.Struct, frozen=True):
+    """What one broker at a time does for all. Without this nothing is opened. The same for the whole fleet, but for
+    `store`, `host`, `port` and `advertise`.
+
+    voter: the few brokers that agree on who holds what. key: files, the first seals, a second is accepted. store: the
+    folder in which this broker votes, made by `badgerbend voters create`; none: it does not vote. advertise: where
+    others reach it, if not at host and port.
+
+    lease_ms: a duty whose holder is silent falls free after this. clock_rate: no machine's clock runs faster or slower
+    than true time by more than this share. ask_ms: a candidate shows itself so often. stall_ms: a broker whose loop
+    stood still for so long acts again only once confirmed. election_ms: without a leader for one to two of these,
+    voters choose another; beat_ms: a leader is heard so often.
+
+    probing: whether doubted servers are asked by the duty's holder, each every `probe_every_ms`, `probes` at once.
+    """
+
+    key: tuple[Name, ...]
+    voter: tuple[VoterAt, ...]
+    host: Name = "127.0.0.1"
+    port: Port = 7960
+    advertise: Name | None = None
+    store: Name | None = None
+    lease_ms: Positive = 2000.0
+    clock_rate: Annotated[float, msgspec.Meta(ge=0, lt=0.5)] = 0.01
+    ask_ms: Positive = 1000.0
+    stall_ms: Positive = 500.0
+    election_ms: Positive = 500.0
+    beat_ms: Positive = 100.0
+    probing: bool = True
+    probe_every_ms: Positive = 500.0
+    probes: Count = 8
+
+    def __post_init__(self) -> None:
+        if not 1 <= len(self.key) <= 2:
+            raise ValueError("key takes one file, or two while one key replaces the other")
+        if len(self.voter) not in (1, 3, 5, 7):
+            raise ValueError(f"{len(self.voter)} voters; 1, 3, 5 or 7 leave no tie")
+        for what, texts in (("name", [v.name for v in self.voter]), ("address", [v.address for v in self.voter])):
+            for text in texts:
+                if texts.count(text) > 1:
+                    raise ValueError(f"two voters have the {what} {text}")
+        if self.advertise is not None:
+            _host_port(self.advertise, "advertise")
+        if self.lease_ms < 2 * self.stall_ms:
+            raise ValueError("lease-ms must be at least twice stall-ms")
+        if self.election_ms < 3 * self.beat_ms:
+            raise ValueError("election-ms must be at least three times beat-ms, or one lost beat elects another")
+
+
 class Log(msgspec.Struct, frozen=True):
     form: Literal["json", "console"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -293,6 +356,7 @@
     peers: Peers | None = None
     snapshot: Snapshot | None = None
     sites: Sites | None = None
+    duties: Duties | None = None
     max_open: Count = 20_000
     over_share_worth: NotNegative = 0.1
     seed: CountOrNone = 1
--- a/badgerbend/duties/holder.py
+++ b/badgerbend/duties/holder.py
@@ -51,17 +51,18 @@
     until: float = -math.inf  # it may act before this
     failing: bool = False
     given: int = 0  # the last epoch it gave back; it takes none up to that again
-    holder: str = ""  # who holds it, as last told
+    holder: str = ""  # who holds it, as last told, and where that one is reached
+    at: str = ""
     holder_epoch: int = 0
 
 
 class Holder:
-    """One broker. near: the duties it stands for, and whether it is at their own site."""
+    """One broker. at: where others reach it. near: the duties it stands for, and whether it is at their own site."""
 
     def __init__(
-        self, name: str, near: dict[str, bool], voters: tuple[str, ...], terms: Terms, seed: int, now: float
+        self, name: str, at: str, near: dict[str, bool], voters: tuple[str, ...], terms: Terms, seed: int, now: float
     ) -> None:
-        self.name, self.voters, self.terms = name, voters, terms
+        self.name, self.at, self.voters, self.terms = name, at, voters, terms
         self.rng = random.Random(seed)
         self.duties = {duty: _Duty(at_home) for duty, at_home in near.items()}
         self.load = 0.0
@@ -132,6 +133,7 @@
         mine = self.duties.get(line.duty)
         if mine is None or line.epoch < mine.holder_epoch:  # an answer that was overtaken
             return
+        mine.at = line.at or (mine.at if line.epoch == mine.holder_epoch else "")
         mine.holder, mine.holder_epoch = line.holder, line.epoch
         if line.holder != self.name or line.epoch <= mine.given:
             if mine.epoch <= line.epoch:
@@ -186,7 +188,7 @@
         if len(self._sent) > ASKED_MOST:
             self._sent.popitem(last=False)
         stands = tuple(Stand(name, d.epoch, d.near, d.failing) for name, d in self.duties.items())
-        self.out.append((self._asked, Want(self.name, self._seq, self.load, self.name in self.voters, stands)))
+        self.out.append((self._asked, Want(self.name, self._seq, self.at, self.load, self.name in self.voters, stands)))
         self._unanswered += 1
         wait = self.terms.lease_s / 4 if self.held() else self.terms.ask_s
         if self._unanswered > 1 or not self.leader:
--- a/badgerbend/duties/keeper.py
+++ b/badgerbend/duties/keeper.py
@@ -19,11 +19,13 @@
 STEADY = 5.0  # leases: somebody better placed for so long is worth a hand-over, and no sooner after the last
 BARRED_MOST_S = 60.0  # a holder that failed is not chosen for a while, twice as long each time up to this
 LOAD_STEP = 10.0  # of what is open at a broker: less is no difference
+TAKEN_UP = 4.0  # answers' times: a grant that was not taken up by then goes to another
 AGAIN_S = 1.0  # a command that has not come about is proposed again
 
 
 @dataclass(slots=True)
 class _Candidate:
+    at: str
     near: bool
     votes: bool
     load: float
@@ -65,7 +67,9 @@
         """Every lease runs a whole length from here: the last leader may have renewed it a moment ago."""
         self.leading, self.lead_at = True, now
         self.candidates, self.holds, self.proposed = {}, {}, {}
-        self.changed(now)
+        for duty, lease in self.table.leases.items():
+            if lease.holder:
+                self.holds[duty] = _Held(lease.epoch, now, now + self._waited())
 
     def rest(self) -> None:
         self.leading = False
@@ -78,7 +82,7 @@
             if not lease.holder:
                 self.holds.pop(duty, None)
             elif held is None or held.epoch != lease.epoch:
-                self.holds[duty] = _Held(lease.epoch, now, now + self._waited())
+                self.holds[duty] = _Held(lease.epoch, now, now + self._taken_up())
                 self.proposed.pop(duty, None)
                 new.append(duty)
         return new
@@ -86,6 +90,10 @@
     def _waited(self) -> float:
         return self.terms.waited_s
 
+    def _taken_up(self) -> float:
+        """A grant that this leader made and never renewed lets nobody act: it need not run out to be given on."""
+        return TAKEN_UP * self.terms.answer_s
+
     # -- brokers
     def want(self, now: float, want: Want) -> bool:
         """A broker shows itself; whether there is something to renew, once this voter's lead is confirmed."""
@@ -94,9 +102,9 @@
             standing = self.candidates.setdefault(stand.duty, {})
             one = standing.get(want.source)
             if one is None:
-                one = standing[want.source] = _Candidate(stand.near, want.votes, want.load, now)
-            one.near, one.votes, one.load, one.heard_at = stand.near, want.votes, want.load, now
-            one.failing = stand.failing
+                one = standing[want.source] = _Candidate(want.at, stand.near, want.votes, want.load, now)
+            one.at, one.near, one.votes, one.load = want.at, stand.near, want.votes, want.load
+            one.heard_at, one.failing = now, stand.failing
             renews |= self._holds(want.source, stand)
         return renews
 
@@ -104,19 +112,23 @@
         """The answer to a `want` that came then, now that the lead is confirmed."""
         lines = []
         for stand in want.stands:
-            lease, held = self.table.lease(stand.duty), self.holds.get(stand.duty)
+            held = self.holds.get(stand.duty)
             renewed = yields = False
             if held is not None and self._holds(want.source, stand) and not held.closing:
                 renewed = not held.replaced
                 yields = held.replaced or received - held.better_since > STEADY * self.terms.lease_s
                 held.ends = max(held.ends, received + self._waited()) if renewed else held.ends
-            lines.append(Line(stand.duty, lease.holder, lease.epoch, renewed, yields))
+            lines.append(self.line(stand.duty, renewed, yields))
         return lines
 
     def lines(self, want: Want) -> list[Line]:
         """The answer to a `want` that renews nothing."""
-        leases = [(stand.duty, self.table.lease(stand.duty)) for stand in want.stands]
-        return [Line(duty, lease.holder, lease.epoch, False, False) for duty, lease in leases]
+        return [self.line(stand.duty) for stand in want.stands]
+
+    def line(self, duty: str, renewed: bool = False, yields: bool = False) -> Line:
+        lease = self.table.lease(duty)
+        one = self.candidates.get(duty, {}).get(lease.holder)
+        return Line(duty, lease.holder, one.at if one is not None else "", lease.epoch, renewed, yields)
 
     def leave(self, leave: Leave) -> list[Command]:
         """Leases given back end at once; who has gone is chosen no more."""
@@ -145,6 +157,7 @@
                 if now >= held.ends and not held.closing:
                     held.closing = True
                     out.append(Free(duty, held.epoch))
+                    self._silent(duty)
                 held.replaced = held.replaced or self._fails(now, duty, held)
                 self._compare(now, duty, held)
             elif now >= self._settled() and now >= self.proposed.get(duty, -math.inf):
@@ -154,6 +167,11 @@
                     out.append(Grant(duty, best, self.table.lease(duty).epoch))
         return out
 
+    def _silent(self, duty: str) -> None:
+        """Who let a lease run out stands again once it is heard again: it would be given the same one else."""
+        for standing in self.candidates.values():
+            standing.pop(self.table.lease(duty).holder, None)
+
     def refused(self, command: Command) -> None:
         """A command did not get into the log: it may be proposed again."""
         if isinstance(command, Free) and command.duty in self.holds:
--- a/badgerbend/duties/messages.py
+++ b/badgerbend/duties/messages.py
@@ -9,9 +9,11 @@
 from badgerbend.consensus.messages import MOST_COMMAND, Malformed, Number, Text, TextOrNone
 
 MOST_DUTIES = 16  # that one broker stands for: a message about all of them fits a datagram
+MOST_SERVERS = 16  # that one datagram names
 MOST_KEY, MOST_VALUE = 64, MOST_COMMAND - 200
 Load = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_KEY)]
+Took = Annotated[float, msgspec.Meta(ge=0, le=1e9)]  # milliseconds
 
 # -- commands of the log
 
@@ -56,10 +58,12 @@
 
 
 class Want(msgspec.Struct, array_like=True, frozen=True, tag=1):
-    """A broker stands for these duties, and renews what it holds of them. seq: of its own, sent back in the answer."""
+    """A broker stands for these duties, and renews what it holds of them. seq: of its own, sent back in the answer.
+    at: where other brokers reach it."""
 
     source: Text
     seq: Number
+    at: Text
     load: Load
     votes: bool
     stands: Annotated[tuple[Stand, ...], msgspec.Meta(max_length=MOST_DUTIES)]
@@ -75,11 +79,12 @@
 
 
 class Line(msgspec.Struct, array_like=True, frozen=True):
-    """Who holds a duty, by its leader. renewed: the lease runs anew from when the answered `Want` was sent.
-    yields: somebody better placed waits, the holder is asked to give it back."""
+    """Who holds a duty, by its leader, and where it is reached, where that is known. renewed: the lease runs anew from
+    when the answered `Want` was sent. yields: somebody better placed waits, the holder is asked to give it back."""
 
     duty: Text
     holder: TextOrNone
+    at: TextOrNone
     epoch: Number
     renewed: bool
     yields: bool
@@ -98,12 +103,44 @@
 
 Message = Want | Leave | Told
 
+# -- between brokers, for a duty
+
+
+class Doubt(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """Servers, by name, that a broker doubts: a word to whoever probes them."""
+
+    source: Text
+    duty: Text
+    servers: Annotated[tuple[Text, ...], msgspec.Meta(max_length=MOST_SERVERS)]
+
+
+class Row(msgspec.Struct, array_like=True, frozen=True):
+    """What a probe found: whether the server served it, how long that took, how long ago it was sent, in ms."""
+
+    server: Text
+    served: bool
+    took_ms: Took
+    age_ms: Took
+
+
+class Found(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """An act of probing: what its holder found, under its epoch."""
+
+    source: Text
+    duty: Text
+    epoch: Number
+    rows: Annotated[tuple[Row, ...], msgspec.Meta(max_length=MOST_SERVERS)]
+
+
+Act = Doubt | Found
+
 _encoder = msgspec.msgpack.Encoder()
 _command_decoder = msgspec.msgpack.Decoder(Command)
 _message_decoder = msgspec.msgpack.Decoder(Message)
+_act_decoder = msgspec.msgpack.Decoder(Act)
 
 
-def encode(what: Message | Command) -> bytes:
+def encode(what: Message | Command | Act) -> bytes:
     return _encoder.encode(what)
 
 
@@ -115,6 +152,14 @@
         raise Malformed(str(err)) from err
 
 
+def decode_act(data: bytes) -> Act:
+    """Raises Malformed."""
+    try:
+        return _act_decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
+
+
 def decode_command(data: bytes) -> Command:
     """Raises Malformed."""
     try:
--- a/badgerbend/duties/voter.py
+++ b/badgerbend/duties/voter.py
@@ -136,8 +136,7 @@
         for duty in self.keeper.changed(now):
             lease = self.table.lease(duty)
             self.notes.append(("granted", {"duty": duty, "holder": lease.holder, "epoch": lease.epoch}))
-            line = Line(duty, lease.holder, lease.epoch, False, False)
-            self.told.append((lease.holder, Told(self.name, 0, self.name, True, (line,))))
+            self.told.append((lease.holder, Told(self.name, 0, self.name, True, (self.keeper.line(duty),))))
         self._due_at = now  # a duty that fell free is given on at once
 
     def _tell(self, to: Want | Leave, lines: tuple[Line, ...] | list[Line]) -> None:
--- a/badgerbend/metrics.py
+++ b/badgerbend/metrics.py
@@ -44,6 +44,8 @@
             "badgerbend_site_refusals", "Queries refused so far for want of a site", ["reason", "class", "tenant"],
             registry=r,
         )  # fmt: skip
+        self.duties = Gauge("badgerbend_duty", "What this broker knows of a duty", ["duty", "what"], registry=r)
+        self.rota = Gauge("badgerbend_duties", "Its part in duties and votes, see docs/duties.md", ["what"], registry=r)
         self._ended = {
             (c, how): self.queries.labels(c, how)
             for c in classes
--- /dev/null
+++ b/badgerbend/net/udp.py
@@ -0,0 +1,65 @@
+"""A UDP socket whose datagrams are sealed. Who sends is part of the seal: a sender's address, as others reach it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, cast
+
+from badgerbend.net.seal import Refused, Seal
+
+Address = tuple[str, int]
+
+
+def sender_of(address: Address) -> bytes:
+    return f"{address[0]}:{address[1]}".encode()
+
+
+class SealedSocket(asyncio.DatagramProtocol):
+    """`body` is called with each datagram whose seal is good. `own`: the address under which others know this one."""
+
+    def __init__(self, seal: Seal) -> None:
+        self.seal = seal
+        self.own: Address = ("", 0)
+        self.transport: asyncio.DatagramTransport | None = None
+        self.loop = asyncio.get_running_loop()
+        self.received = self.refused = self.sent = self.bytes = 0
+
+    async def open(self, host: str, port: int) -> int:
+        """Binds; returns the port. Raises OSError."""
+        await self.loop.create_datagram_endpoint(lambda: self, (host, port))
+        assert self.transport is not None
+        bound = int(self.transport.get_extra_info("sockname")[1])
+        self.own = (host, bound)
+        return bound
+
+    def send(self, address: Address, body: bytes) -> None:
+        if self.transport is None:
+            return
+        data = self.seal.close(body, sender_of(self.own))
+        self.sent += 1
+        self.bytes += len(data)
+        self.transport.sendto(data, address)
+
+    def body(self, body: bytes, source: Address) -> None:
+        raise NotImplementedError
+
+    def shut(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    # -- asyncio's side
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.received += 1
+        source = (addr[0], addr[1])
+        try:
+            body = self.seal.open(data, sender_of(source))
+        except Refused:
+            self.refused += 1
+            return
+        self.body(body, source)
+
+    def error_received(self, exc: Exception) -> None:
+        """A port that nobody listens on: the protocols' own time-outs tell of it."""
--- a/badgerbend/peering/exchange.py
+++ b/badgerbend/peering/exchange.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 
 from badgerbend.knowledge.record import MOST_BYTES, BadRecord, Record, decode, encode, older
-from badgerbend.membership.seal import sign, verify
 from badgerbend.net.client import Call, End, Pool, PoolLimits, Reply
+from badgerbend.net.seal import sign, verify
 from badgerbend.net.server import Exchange, HttpServer, ServerLimits
 
 NONCE, MAC = b"badgerbend-nonce", b"badgerbend-mac"
--- a/badgerbend/peering/service.py
+++ b/badgerbend/peering/service.py
@@ -19,9 +19,9 @@
 from badgerbend.knowledge.trust import Trust
 from badgerbend.log import get
 from badgerbend.membership.messages import State
-from badgerbend.membership.seal import Seal, read_key
 from badgerbend.membership.swim import Changed, Swim, Tuning
 from badgerbend.net.client import Call
+from badgerbend.net.seal import Seal, read_key
 from badgerbend.peering.exchange import Teller, ask
 from badgerbend.peering.udp import MembershipSocket
 from badgerbend.runtime.driver import Driver
--- /dev/null
+++ b/badgerbend/process.py
@@ -0,0 +1,54 @@
+"""A broker as a process: its signals, what it says where it cannot start, and the statuses it ends with."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import NoReturn
+
+import typer
+
+from badgerbend import log
+from badgerbend.broker import Broker, settle_memory
+from badgerbend.config.settings import Settings
+from badgerbend.graphql.schema import Subgraph
+from badgerbend.ledger.store import BadStore
+from badgerbend.net.seal import BadKey
+
+BAD_SETTINGS, CANNOT_START = 2, 3
+Make = Callable[[Settings, Subgraph, Path], Broker]
+
+
+def stop(text: str, status: int) -> NoReturn:
+    """Ends a command with one line and a status."""
+    print(f"badgerbend: {text}", file=sys.stderr)
+    raise typer.Exit(status)
+
+
+async def until_told() -> None:
+    """Until an interrupt or a request to end."""
+    told = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, told.set)
+    await told.wait()
+
+
+async def serve(make: Make, settings: Settings, graph: Subgraph, folder: Path) -> int:
+    """Runs one broker until told to end; the status to exit with."""
+    log.configure(settings.log)
+    try:
+        broker = make(settings, graph, folder)
+        await broker.start()
+    except (ValueError, BadKey, BadStore) as err:
+        print(f"badgerbend: cannot start: {err}", file=sys.stderr)
+        return CANNOT_START
+    except OSError as err:
+        print(f"badgerbend: cannot listen, or read what the settings name: {err}", file=sys.stderr)
+        return CANNOT_START
+    settle_memory()
+    await until_told()
+    await broker.stop()
+    return 0
--- /dev/null
+++ b/badgerbend/rota/service.py
@@ -0,0 +1,377 @@
+"""One broker's part in the fleet's duties: standing for them, doing what it holds, and taking what others' acts tell.
+
+No query ever waits for any of this. `clock` is the seam by which a test lets a machine's clock run fast or slow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from badgerbend.config.settings import Duties, Settings
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus.raft import Tuning
+from badgerbend.discovery.directory import Directory
+from badgerbend.duties.fence import Fence
+from badgerbend.duties.holder import Holder, Terms
+from badgerbend.duties.messages import Doubt, Found, Leave, Told, Want
+from badgerbend.duties.probing import Prober, doubted, learned, said
+from badgerbend.ledger.store import BadStore
+from badgerbend.log import get
+from badgerbend.metrics import Metrics
+from badgerbend.net.client import End, Pool, Reply
+from badgerbend.net.seal import Seal, read_key
+from badgerbend.net.udp import Address, SealedSocket
+from badgerbend.rota import wire
+from badgerbend.rota.voting import Ballot
+from badgerbend.runtime.driver import Driver
+
+PROBE = "probe"  # the duty's name; where there are sites, each has one of its own
+DOUBT_S = 1.0  # doubts are said so often, for as long as they last
+PROBE_S = 1.0  # a probe that is not answered by then has failed
+LOOK_S = 0.05  # how often a prober looks at what is due
+FAILED_FOR_S = 2.0  # a prober none of whose probes was answered for so long says that it fails
+HAND_OVER_S = 0.3  # leadership is awaited to be taken at the end of the process
+_BODY = b'{"query":"{ __typename }"}'
+_HEAD = (
+    b"POST /graphql HTTP/1.1\r\nhost: %s:%d\r\nuser-agent: badgerbend/probe\r\n"
+    b"content-type: application/json\r\ncontent-length: %d\r\n\r\n"
+)
+
+
+def terms_of(duties: Duties) -> Terms:
+    return Terms(
+        duties.lease_ms / 1000.0, duties.clock_rate, duties.ask_ms / 1000.0,
+        min(duties.lease_ms / 8, duties.ask_ms / 4) / 1000.0, duties.stall_ms / 1000.0,
+    )  # fmt: skip
+
+
+class Rota(SealedSocket):
+    """Built and used on one running loop. Raises BadKey, BadStore or OSError where it cannot start."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        duties: Duties,
+        folder: Path,
+        driver: Driver,
+        directory: Directory,
+        pool_of: Callable[[int], Pool | None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.settings, self.duties, self.folder = settings, duties, folder
+        self.life = int(time.time() * 1000)
+        self.keys = tuple(read_key(folder / path) for path in duties.key)
+        super().__init__(Seal(self.keys, self.life))
+        self.driver, self.directory, self.pool_of, self.clock = driver, directory, pool_of, clock
+        self.log = get(part="duties")
+        self.terms = terms_of(duties)
+        self.name = f"broker-{settings.identity.index}"
+        self.voters = {v.name: wire.address(v.address) for v in duties.voter}
+        self.ballot: Ballot | None = None
+        self.holder: Holder | None = None
+        self.fence = Fence()
+        home = settings.sites.home(settings.identity.zone) if settings.sites is not None else None
+        self.duty = f"{PROBE}:{home.name}" if home is not None else PROBE
+        self.prober = Prober(self.duty, self.name, duties.probe_every_ms / 1000.0, duties.probes)
+        self.findings = 0  # rows that others' probes told this broker
+        self.acts = 0
+        self._answered_at = self._probed_since = -1.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._doubts: asyncio.TimerHandle | None = None
+        self._probing: asyncio.TimerHandle | None = None
+        self._closed = False
+
+    async def start(self) -> int:
+        """Binds, votes where it has a store, and stands for its duties; returns the port."""
+        duties = self.duties
+        if duties.store is not None:
+            tuning = Tuning(duties.election_ms / 1000.0, duties.beat_ms / 1000.0)
+            self.ballot = Ballot(
+                self.folder / duties.store, tuning, self.terms, self._seed(1), self.clock, self._to_voter,
+                self._to_broker, self._note, self._after,
+            )  # fmt: skip
+            if self.ballot.name != self.name:
+                named = self.ballot.name
+                self.ballot.close()
+                raise BadStore(f"{self.folder / duties.store}: the store of {named}, and this is {self.name}")
+        port = await self.open(duties.host, duties.port)
+        if duties.advertise is not None:
+            self.own = wire.address(duties.advertise)
+        stands = {self.duty: True} if duties.probing else {}
+        at = f"{self.own[0]}:{self.own[1]}"
+        self.holder = Holder(self.name, at, stands, tuple(self.voters), self.terms, self._seed(2), self.clock())
+        if duties.probing:
+            wait = DOUBT_S * self.holder.rng.random()
+            self._doubts = self.loop.call_later(wait, self._say_doubts)
+            self._probing = self.loop.call_later(LOOK_S, self._probe)
+        self._after()
+        return port
+
+    def _seed(self, what: int) -> int:
+        return (self.settings.seed * 1_000_003 + self.settings.identity.index) * 4 + what + (self.life << 64)
+
+    async def close(self) -> None:
+        """Gives back what it holds, lets another lead, and ends."""
+        self._closed = True
+        for timer in (self._timer, self._doubts, self._probing):
+            if timer is not None:
+                timer.cancel()
+        if self.holder is not None:
+            self.holder.leave(self.clock())
+            self._send_holder()
+        if self.ballot is not None:
+            if self.ballot.hand_over():
+                until = self.loop.time() + HAND_OVER_S
+                while self.ballot.voter.leads and self.loop.time() < until:
+                    await asyncio.sleep(0.01)
+            self.ballot.close()
+        self.shut()
+
+    # -- datagrams
+    def body(self, body: bytes, source: Address) -> None:
+        try:
+            message = wire.read(body)
+        except wire.Malformed:
+            self.refused += 1
+            return
+        match message:
+            case Want() | Leave():
+                if self.ballot is not None:
+                    self.ballot.from_broker(message, source)
+            case Told():
+                self._told(message)
+            case Doubt():
+                self._heard_doubt(message, source)
+            case Found():
+                self._heard_found(message)
+            case _:
+                if self.ballot is not None:
+                    self.ballot.from_voter(message)
+        self._after()
+
+    def _told(self, message: Told) -> None:
+        if self.holder is not None:
+            before = self.holder.held()
+            self.holder.told(self.clock(), message)
+            for duty, epoch in self.holder.held():
+                if (duty, epoch) not in before:
+                    self._note("holds", duty=duty, epoch=epoch)
+
+    def _to_voter(self, name: str, message: voting.Message) -> None:
+        address = self.voters.get(name)
+        if address is not None:
+            self.send(address, wire.voter_body(message))
+
+    def _to_broker(self, address: Address, message: Told) -> None:
+        if address == self.own:
+            self.loop.call_soon(self._told_self, message)
+        else:
+            self.send(address, wire.broker_body(message))
+
+    def _told_self(self, message: Told) -> None:
+        if not self._closed:
+            self._told(message)
+            self._after()
+
+    def _send_holder(self) -> None:
+        assert self.holder is not None
+        for name, message in self.holder.take():
+            if self.ballot is not None and name == self.ballot.name:
+                self.ballot.from_broker(message, self.own)
+            elif name in self.voters:
+                self.send(self.voters[name], wire.broker_body(message))
+
+    # -- time
+    def _after(self) -> None:
+        """Sends what there is to send, and sets the clock for what comes next."""
+        if self._closed or self.holder is None:
+            return
+        self._send_holder()
+        if self._timer is not None:
+            self._timer.cancel()
+        at = min(self.holder.next_at, self.ballot.next_at if self.ballot is not None else float("inf"))
+        self._timer = self.loop.call_later(max(at - self.clock(), 0.001), self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        assert self.holder is not None
+        now = self.clock()
+        self.holder.load = float(self.driver.open_parts)
+        if now >= self.holder.next_at:
+            self.holder.tick(now)
+        if self.ballot is not None and now >= self.ballot.next_at:
+            self.ballot.tick()
+        self._after()
+
+    # -- probing
+    def may_act(self) -> int | None:
+        """The epoch under which this broker may probe now, if it may."""
+        return self.holder.may_act(self.clock(), self.duty) if self.holder is not None else None
+
+    def _say_doubts(self) -> None:
+        assert self.holder is not None
+        self._doubts = self.loop.call_later(DOUBT_S * self.holder.rng.uniform(0.8, 1.2), self._say_doubts)
+        mine = self.holder.duties[self.duty]
+        doubts = doubted(self.driver.known(), self.directory.names)
+        if not doubts:
+            return
+        doubt = said(doubts, self.name, self.duty)
+        if self.may_act() is not None:
+            self._heard_doubt(doubt, self.own)
+        elif mine.holder and mine.holder != self.name and mine.at:
+            try:
+                self.send(wire.address(mine.at), wire.act_body(doubt))
+            except ValueError:
+                self.refused += 1
+
+    def _heard_doubt(self, doubt: Doubt, source: Address) -> None:
+        if doubt.duty == self.duty and self.may_act() is not None:
+            self.prober.doubt(self.clock(), doubt, f"{source[0]}:{source[1]}")
+
+    def _probe(self) -> None:
+        self._probing = self.loop.call_later(LOOK_S, self._probe)
+        if self.may_act() is None:
+            self.prober.stop()
+            self._probed_since = -1.0
+            return
+        numbers = {name: number for number, name in self.directory.names.items()}
+        for server in self.prober.due(self.clock()):
+            pool = self.pool_of(numbers[server]) if server in numbers else None
+            if pool is None:
+                self._found(server, False, 0.0)  # it is on no list any more
+                continue
+            _Probe(self, server, pool)
+        self._judge_self()
+
+    def _judge_self(self) -> None:
+        """A prober that gets no answer from any server, though others doubt but some, says that it fails."""
+        assert self.holder is not None
+        now = self.clock()
+        if not self.prober.servers:
+            self._probed_since = -1.0
+        elif self._probed_since < 0:
+            self._probed_since = now
+        alone = self._probed_since >= 0 and now - max(self._probed_since, self._answered_at) > FAILED_FOR_S
+        self.holder.failing(self.duty, alone)
+
+    def _found(self, server: str, served: bool, took_ms: float) -> None:
+        """A probe's end. It is an act: told under the epoch in force now, or not at all."""
+        if served:
+            self._answered_at = self.clock()
+        epoch = self.may_act()
+        if epoch is None or self._closed:
+            return
+        for at, found in self.prober.found(self.clock(), epoch, server, served, took_ms):
+            self.acts += 1
+            if at == f"{self.own[0]}:{self.own[1]}":
+                self._heard_found(found)
+            else:
+                self.send(wire.address(at), wire.act_body(found))
+
+    def _heard_found(self, found: Found) -> None:
+        """Under an older epoch than was seen it takes no effect, whoever says it."""
+        if found.duty != self.duty or not self.fence.admits(found.duty, found.epoch):
+            return
+        self.findings += len(found.rows)
+        self.driver.learn(learned(found, {name: number for number, name in self.directory.names.items()}))
+
+    # -- for people
+    def _note(self, what: str, **values: object) -> None:
+        self.log.info(what, **values)
+
+    def status(self) -> dict[str, Any]:
+        """For a person: who holds what as this broker was last told, and the vote's state where it has one."""
+        holder, ballot = self.holder, self.ballot
+        now = self.clock()
+        duties = [
+            {
+                "duty": duty, "holder": d.holder, "epoch": d.holder_epoch, "may_act": now < d.until and d.epoch > 0,
+                "for_ms": round(max(d.until - now, 0.0) * 1000.0) if d.epoch else 0,
+            }
+            for duty, d in (holder.duties.items() if holder is not None else ())
+        ]  # fmt: skip
+        vote: dict[str, Any] | None = None
+        if ballot is not None:
+            raft = ballot.voter.raft
+            leases = ballot.voter.table.leases.items()
+            vote = {
+                "name": ballot.name, "role": raft.role.name.lower(), "term": raft.term, "leader": raft.leader,
+                "voters": list(raft.voters), "commit": raft.commit, "last": raft.log.last_index,
+                "broken": ballot.broken, "syncs": ballot.writer.syncs, "renewals": ballot.voter.renewals,
+                "others": {
+                    n: {"match": p.match, "silent_ms": round((now - p.heard_at) * 1000.0)}
+                    for n, p in raft.progress.items()
+                },
+                "leases": [{"duty": n, "holder": lease.holder, "epoch": lease.epoch} for n, lease in leases],
+            }  # fmt: skip
+        return {
+            "name": self.name, "leader": holder.leader if holder is not None else "", "duties": duties, "vote": vote,
+            "probes": self.prober.probes, "findings": self.findings, "acts": self.acts,
+            "refused_acts": self.fence.refused, "sent": self.sent, "received": self.received,
+            "refused": self.refused, "bytes": self.bytes,
+        }  # fmt: skip
+
+    def gauges(self, metrics: Metrics) -> None:
+        holder, ballot = self.holder, self.ballot
+        for duty, d in holder.duties.items() if holder is not None else ():
+            metrics.duties.labels(duty, "held here").set(self.clock() < d.until and d.epoch > 0)
+            metrics.duties.labels(duty, "epoch").set(d.holder_epoch)
+        counts = {"probes": self.prober.probes, "findings": self.findings, "acts refused": self.fence.refused,
+                  "datagrams sent": self.sent, "datagrams refused": self.refused}  # fmt: skip
+        if ballot is not None:
+            raft = ballot.voter.raft
+            counts |= {"term": raft.term, "leads": int(ballot.voter.leads), "commit": raft.commit,
+                       "syncs": ballot.writer.syncs, "votes no more": int(ballot.broken is not None)}  # fmt: skip
+        for what, count in counts.items():
+            metrics.rota.labels(what).set(count)
+
+    def allows(self, authorization: bytes) -> bool:
+        """Whether a command comes from one who holds a key."""
+        given = authorization.removeprefix(b"Bearer ").strip()
+        return any(hmac.compare_digest(given, key) for key in self.keys)
+
+    def command(self, path: str) -> tuple[int, str]:
+        """`hand-over`, `voters/add/NAME`, `voters/remove/NAME`: an HTTP status, and a word."""
+        if path == "hand-over":
+            if self.holder is None or not self.holder.held():
+                return 409, "nothing is held here"
+            self.holder.release(self.clock())
+            self._after()
+            return 200, "given back"
+        words = path.split("/")
+        if len(words) == 3 and words[0] == "voters" and words[1] in ("add", "remove"):
+            if self.ballot is None or not self.ballot.voter.leads:
+                return 409, f"not the leader; that is {self.holder.leader if self.holder else ''}"
+            against = self.ballot.voter.raft.change(self.clock(), words[2], words[1] == "add")
+            self.ballot.flush()
+            self._after()
+            return (409, against) if against else (200, "on the way; see the status")
+        return 404, "no such command"
+
+
+class _Probe:
+    """One question to one server, and its one end."""
+
+    def __init__(self, rota: Rota, server: str, pool: Pool) -> None:
+        self.rota, self.server, self.began = rota, server, rota.clock()
+        head = _HEAD % (pool.host.encode(), pool.port, len(_BODY))
+        self.call = pool.request(head + _BODY, self.replied)
+        self.limit = rota.loop.call_later(PROBE_S, partial(self.end, False))
+        self.done = False
+
+    def replied(self, reply: Reply) -> None:
+        self.end(reply.end is End.ANSWER and reply.status == 200)
+
+    def end(self, served: bool) -> None:
+        if not self.done:
+            self.done = True
+            self.limit.cancel()
+            self.call.abort()
+            self.rota._found(self.server, served, (self.rota.clock() - self.began) * 1000.0)
+
--- /dev/null
+++ b/badgerbend/rota/voting.py
@@ -0,0 +1,100 @@
+"""A broker's vote: the pure `Voter` between its disk and the socket."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from pathlib import Path
+
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus.raft import Tuning
+from badgerbend.duties.holder import Terms
+from badgerbend.duties.messages import Leave, Told, Want
+from badgerbend.duties.voter import Voter
+from badgerbend.ledger.store import Store
+from badgerbend.ledger.writer import Writer
+from badgerbend.net.udp import Address
+
+BROKERS = 4096  # whose addresses are remembered
+
+
+class Ballot:
+    """Raises BadStore or OSError where its store cannot be used. send_voter, send_broker: the socket's."""
+
+    def __init__(
+        self,
+        folder: Path,
+        tuning: Tuning,
+        terms: Terms,
+        seed: int,
+        clock: Callable[[], float],
+        send_voter: Callable[[str, voting.Message], None],
+        send_broker: Callable[[Address, Told], None],
+        note: Callable[..., None],
+        changed: Callable[[], None],
+    ) -> None:
+        self.clock, self.note, self.changed = clock, note, changed
+        self.send_voter, self.send_broker = send_voter, send_broker
+        store = Store(folder)
+        self.name = store.owner.name
+        self.voter = Voter(self.name, store.kept, tuning, terms, seed, clock())
+        self.writer = Writer(store, asyncio.get_running_loop(), self._saved, self._failed)
+        self.broken: str | None = None
+        self.brokers: OrderedDict[str, Address] = OrderedDict()
+
+    def from_voter(self, message: voting.Message) -> None:
+        if self.broken is None:
+            self.voter.from_voter(self.clock(), message)
+            self.flush()
+
+    def from_broker(self, message: Want | Leave, source: Address) -> None:
+        if self.broken is not None:
+            return
+        self.brokers[message.source] = source
+        self.brokers.move_to_end(message.source)
+        if len(self.brokers) > BROKERS:
+            self.brokers.popitem(last=False)
+        self.voter.from_broker(self.clock(), message)
+        self.flush()
+
+    def tick(self) -> None:
+        if self.broken is None:
+            self.voter.tick(self.clock())
+            self.flush()
+
+    @property
+    def next_at(self) -> float:
+        return self.voter.next_at if self.broken is None else float("inf")
+
+    def flush(self) -> None:
+        out = self.voter.take()
+        if out.writes:
+            self.writer.write(out.writes)
+        for to, message in out.to_voters:
+            self.send_voter(to, message)
+        for name, told in out.to_brokers:
+            if name in self.brokers:
+                self.send_broker(self.brokers[name], told)
+        for what, values in out.notes:
+            self.note(what, **values)
+
+    def hand_over(self) -> bool:
+        """Before the end of the process: another leads, if this one does. False where there is nothing to hand over."""
+        began = self.broken is None and self.voter.raft.transfer(self.clock())
+        self.flush()
+        return began
+
+    def close(self) -> None:
+        self.writer.close()
+
+    def _saved(self, seq: int) -> None:
+        if self.broken is None:
+            self.voter.saved(self.clock(), seq)
+            self.flush()
+            self.changed()
+
+    def _failed(self, why: str) -> None:
+        """What the disk holds is not known: this broker votes no more until it is started anew. It goes on serving."""
+        self.broken = why
+        self.note("votes no more", why=why)
--- /dev/null
+++ b/badgerbend/rota/wire.py
@@ -0,0 +1,43 @@
+"""One datagram: a letter that says whose it is, then the message."""
+
+from __future__ import annotations
+
+from badgerbend.consensus import messages as voting
+from badgerbend.duties import messages as saying
+from badgerbend.net.udp import Address
+
+VOTING, SAYING, ACTING = b"v", b"s", b"a"
+Said = voting.Message | saying.Message | saying.Act
+Malformed = voting.Malformed
+
+
+def voter_body(message: voting.Message) -> bytes:
+    return VOTING + voting.encode(message)
+
+
+def broker_body(message: saying.Message) -> bytes:
+    return SAYING + saying.encode(message)
+
+
+def act_body(act: saying.Act) -> bytes:
+    return ACTING + saying.encode(act)
+
+
+def read(body: bytes) -> Said:
+    """Raises Malformed."""
+    match body[:1]:
+        case b"v":
+            return voting.decode(body[1:])
+        case b"s":
+            return saying.decode(body[1:])
+        case b"a":
+            return saying.decode_act(body[1:])
+    raise Malformed(f"letter {body[:1]!r}")
+
+
+def address(text: str) -> Address:
+    """Of HOST:PORT, as the settings have checked it. Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text} is not HOST:PORT")
+    return host, int(port)
--- a/badgerbend/standin/baseline.py
+++ b/badgerbend/standin/baseline.py
@@ -16,9 +16,9 @@
 
 from badgerbend import api
 from badgerbend.broker import Broker, read_subgraph
-from badgerbend.cli import serve
 from badgerbend.config.settings import load
 from badgerbend.logic import Aggregator
+from badgerbend.process import serve
 from badgerbend.sites.tiers import Tiers
 
 OVERPROVISIONING = 1.4
--- a/badgerbend/standin/client.py
+++ b/badgerbend/standin/client.py
@@ -48,20 +48,3 @@
 
     def close(self) -> None:
         self.pool.close()
-
-
-async def fetch(
-    port: int, path: str, host: str = "127.0.0.1", method: str = "GET", token: str | None = None
-) -> Any:
-    """The JSON at a path of a broker; token: sent as a bearer. Raises ConnectionError, with what the broker said."""
-    done: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
-    pool = Pool(host, port, LIMITS)
-    bearer = f"authorization: Bearer {token}\r\n" if token is not None else ""
-    head = f"{method} {path} HTTP/1.1\r\nhost: {host}\r\n{bearer}content-length: 0\r\n\r\n"
-    pool.request(head.encode(), done.set_result)
-    reply = await done
-    pool.close()
-    if reply.end is not End.ANSWER or reply.status != 200:
-        said = reply.body.decode("utf-8", "replace").strip() if reply.end is End.ANSWER else ""
-        raise ConnectionError(f"{reply.end.name.lower()} {reply.status} {said}".strip())
-    return msgspec.json.decode(reply.body)
--- a/badgerbend/standin/day.py
+++ b/badgerbend/standin/day.py
@@ -20,9 +20,10 @@
 
 from badgerbend.config import decode
 from badgerbend.config.settings import Count, Name, Positive, Settings, load, only_form, read_text
+from badgerbend.net.fetch import fetch
 from badgerbend.standin.audit import Facts, Finding, Line, audit
 from badgerbend.standin.bysite import Second, seconds
-from badgerbend.standin.client import Client, fetch
+from badgerbend.standin.client import Client
 from badgerbend.standin.registry import Entry, Registry
 from badgerbend.standin.traffic import Asker, Flow
 from badgerbend.standin.troubles import KINDS, Trouble
--- a/badgerbend/standin/demo.py
+++ b/badgerbend/standin/demo.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +13,7 @@
 from badgerbend import log
 from badgerbend.broker import Broker, read_subgraph
 from badgerbend.config.settings import Log, load
+from badgerbend.process import until_told
 from badgerbend.standin.client import Client
 from badgerbend.standin.work import Model
 from badgerbend.standin.world import World
@@ -77,8 +77,6 @@
     wrong += whole < 10
     client.close()
     if hold:
-        from badgerbend.cli import until_told
-
         console.print(f"\nleft up at http://127.0.0.1:{bound}/graphql until interrupted")
         await until_told()
     await broker.stop()
@@ -109,9 +107,7 @@
     return table
 
 
-async def run_fleet(
-    shards: int, cells: int, reach: int, servers: int, zones: int, port: int, until: Callable[[], Awaitable[None]]
-) -> int:
+async def run_fleet(shards: int, cells: int, reach: int, servers: int, zones: int, port: int) -> int:
     """Servers and their list, until told to end."""
     world = World(shards, cells, reach, 1, lambda line: None)
     try:
@@ -120,6 +116,6 @@
         print(f"cannot listen on port {port}: {err}")
         return 3
     print(f"{servers} rate servers; their list is at http://127.0.0.1:{port}/v1/health/service/rates", flush=True)
-    await until()
+    await until_told()
     await world.close()
     return 0
--- /dev/null
+++ b/badgerbend/standin/drifted.py
@@ -0,0 +1,31 @@
+"""A broker whose clock, as its duties read it, runs fast or slow: `python -m badgerbend.standin.drifted FILE RATE`."""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+
+import uvloop
+
+from badgerbend.broker import Broker, read_subgraph
+from badgerbend.config.settings import Settings, load
+from badgerbend.graphql.schema import Subgraph
+from badgerbend.process import serve
+
+
+def main(path: Path, rate: float) -> int:
+    began = time.monotonic()
+
+    def clock() -> float:
+        return began + (time.monotonic() - began) * rate
+
+    def make(settings: Settings, graph: Subgraph, folder: Path) -> Broker:
+        return Broker(settings, graph, folder, clock)
+
+    settings = load(path)
+    return uvloop.run(serve(make, settings, read_subgraph(settings, path), path.parent))
+
+
+if __name__ == "__main__":
+    sys.exit(main(Path(sys.argv[1]), float(sys.argv[2])))
--- /dev/null
+++ b/badgerbend/standin/processes.py
@@ -0,0 +1,74 @@
+"""Brokers as processes of their own: written settings, started, awaited, signalled, ended."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+from pathlib import Path
+
+from badgerbend.config import decode
+from badgerbend.config.settings import Settings
+from badgerbend.standin.client import Client
+
+READY_S = 20.0
+STOP_S = 15.0
+
+
+class BrokerProcess:
+    """One broker, by its settings. program: what runs them, as arguments of the interpreter, before the file's name."""
+
+    def __init__(self, settings: Settings, conf: Path, before: list[str], after: list[str] | None = None) -> None:
+        self.settings, self.conf = settings, conf
+        self.before, self.after = before, after or []
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Starts it, and waits until it serves. Raises TimeoutError."""
+        await self.launch()
+        await self.ready()
+
+    async def launch(self) -> None:
+        self.conf.write_text(f"(broker\n{decode.show(self.settings, 1)}\n)\n", encoding="utf-8")
+        with open(self.conf.with_suffix(".log"), "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", *self.before, str(self.conf), *self.after, stderr=log, stdout=log
+            )
+
+    async def ready(self) -> None:
+        async with asyncio.timeout(READY_S):
+            while True:
+                client = Client(self.settings.listen.port)
+                with contextlib.suppress(ConnectionError):
+                    await client.query("{ _service { sdl } }")
+                    client.close()
+                    return
+                client.close()
+                await asyncio.sleep(0.05)
+
+    @property
+    def pid(self) -> int:
+        assert self.process is not None
+        return self.process.pid
+
+    def send(self, number: int) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            if self.process is not None:
+                self.process.send_signal(number)
+
+    async def killed(self) -> None:
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def ended(self) -> int:
+        """Tells it to end and waits; kills it where it does not."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        assert self.process is not None
+        try:
+            return await asyncio.wait_for(self.process.wait(), STOP_S)
+        except TimeoutError:
+            await self.killed()
+            return -signal.SIGKILL
--- /dev/null
+++ b/badgerbend/standin/rig.py
@@ -0,0 +1,107 @@
+"""What sits between processes: each is reached at a front of its own, every datagram between two passes both fronts.
+
+A process advertises its front. What comes to the front of B from A's real port is handed to B from the front of A, so
+that each sees the other where the other says it is. In between it may be cut (both ways or one), delayed or lost; each
+datagram is recorded with what became of it. Chance comes from the seed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+Line = dict[str, Any]
+Address = tuple[str, int]
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """A port of loopback that nobody has at this moment."""
+    with socket.socket(socket.AF_INET, kind) as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
+@dataclass(slots=True)
+class Link:
+    """One way from one to another, as it is now."""
+
+    cut: bool = False
+    delay_s: float = 0.0
+    loss: float = 0.0
+
+
+class Front(asyncio.DatagramProtocol):
+    """Where one process is reached."""
+
+    def __init__(self, rig: Rig, name: str, real: Address) -> None:
+        self.rig, self.name, self.real = rig, name, real
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.rig.pass_on(self, data, (addr[0], addr[1]))
+
+    def error_received(self, exc: Exception) -> None:
+        """The process is down, or not up yet."""
+
+
+class Rig:
+    """Made on a running loop. `add` each process before it starts."""
+
+    def __init__(self, seed: int, record: Callable[[Line], None]) -> None:
+        self.rng, self.record = random.Random(seed), record
+        self.loop = asyncio.get_running_loop()
+        self.fronts: dict[str, Front] = {}
+        self.by_port: dict[int, Front] = {}  # of the real processes
+        self.links: dict[tuple[str, str], Link] = {}
+        self.strangers = 0
+
+    async def add(self, name: str, real_port: int) -> str:
+        """The address to advertise."""
+        front = Front(self, name, ("127.0.0.1", real_port))
+        await self.loop.create_datagram_endpoint(lambda: front, ("127.0.0.1", 0))
+        assert front.transport is not None
+        self.fronts[name] = self.by_port[real_port] = front
+        return f"127.0.0.1:{front.transport.get_extra_info('sockname')[1]}"
+
+    def link(self, source: str, to: str) -> Link:
+        return self.links.setdefault((source, to), Link())
+
+    def between(self, some: list[str], others: list[str], both: bool = True, **state: Any) -> None:
+        """Sets the links from `some` to `others`, and back."""
+        pairs = [(a, b) for a in some for b in others if a != b]
+        for a, b in pairs + ([(b, a) for a, b in pairs] if both else []):
+            link = self.link(a, b)
+            for name, value in state.items():
+                setattr(link, name, value)
+
+    def heal(self) -> None:
+        self.links.clear()
+
+    def pass_on(self, to: Front, data: bytes, source: Address) -> None:
+        sender = self.by_port.get(source[1])
+        if sender is None:
+            self.strangers += 1
+            return
+        link = self.link(sender.name, to.name)
+        lost = link.cut or (link.loss > 0 and self.rng.random() < link.loss)
+        now = time.monotonic() * 1000.0
+        self.record({"k": "lost" if lost else "passed", "t": now, "from": sender.name, "to": to.name, "data": data})
+        if lost or sender.transport is None:
+            return
+        if link.delay_s:
+            self.loop.call_later(link.delay_s, sender.transport.sendto, data, to.real)
+        else:
+            sender.transport.sendto(data, to.real)
+
+    def close(self) -> None:
+        for front in self.fronts.values():
+            if front.transport is not None:
+                front.transport.close()
--- /dev/null
+++ b/badgerbend/standin/scene.py
@@ -0,0 +1,268 @@
+"""A scene: a fleet of brokers with duties as processes, a rig between them, faults by time, then the audit.
+
+Somebody doubts servers all the time, so that whoever holds the duty of probing acts all the time, and is seen to.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import socket
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Literal
+
+import msgspec
+
+from badgerbend.config import decode
+from badgerbend.config.settings import (
+    Count,
+    CountOrNone,
+    Duties,
+    Log,
+    NotNegative,
+    Positive,
+    Settings,
+    VoterAt,
+    load,
+    only_form,
+    read_text,
+)
+from badgerbend.duties.messages import Doubt, Told
+from badgerbend.ledger.store import create
+from badgerbend.net.seal import Seal
+from badgerbend.net.udp import Address, SealedSocket
+from badgerbend.rota import wire
+from badgerbend.standin.acts import Judged, judge, message_of
+from badgerbend.standin.processes import BrokerProcess
+from badgerbend.standin.rig import Line, Rig, free_port
+from badgerbend.standin.work import Model
+from badgerbend.standin.world import World
+
+RATES = Path(__file__).parent / "rates" / "broker.conf"
+DOUBTER = "doubter"
+KEY = b"the key of a scene and of nothing else\n"
+Who = Literal["holder", "leader", "follower", "voter", "other", "all"]
+Do = Literal["kill", "stop", "end", "restart", "cut", "one-way", "delay", "loss", "heal", "cut-voters"]
+
+
+class Event(msgspec.Struct, frozen=True):
+    """What is done, when and to whom, as they are at that moment. Times in seconds. for_: until it is made good: a
+    killed or ended process starts again, a stopped one goes on, a link heals. size: of a delay in ms, of a loss as a
+    share."""
+
+    do: Do
+    at: NotNegative
+    who: Who = "holder"
+    for_: Positive = 3.0
+    size: Positive = 100.0
+
+
+class Scene(msgspec.Struct, frozen=True):
+    """A scene's file. drift: clocks of brokers run off true time by up to this share, by the seed."""
+
+    seconds: Positive
+    event: tuple[Event, ...] = ()
+    brokers: Count = 5
+    voters: Count = 3
+    drift: NotNegative = 0.0
+    seed: CountOrNone = 1
+
+    def __post_init__(self) -> None:
+        if self.voters > self.brokers:
+            raise ValueError("voters are brokers too: there must be as many")
+
+
+@dataclass(slots=True)
+class Played:
+    judged: Judged
+    lines: list[Line]
+    began: float  # ms of the rig's clock
+    marks: list[tuple[float, str]]  # what was done, and when
+    ends: list[int]  # statuses of the brokers
+
+    def after(self, mark: int, until_s: float) -> float:
+        """The longest time in ms without an act that took effect, within so many seconds of what was done as that."""
+        t = self.marks[mark][0]
+        return self.judged.gaps(t, t + until_s * 1000.0)[0][0]
+
+
+def load_scene(path: Path) -> Scene:
+    """Raises SettingsError."""
+    return decode.decode(Scene, only_form(read_text(path), str(path), "scene"), str(path), "scene")
+
+
+class _Doubter(SealedSocket):
+    """Doubts the same servers again and again, to every broker: whoever holds the duty heeds it."""
+
+    def __init__(self, brokers: dict[str, Address], servers: tuple[str, ...], duty: str) -> None:
+        super().__init__(Seal((KEY.strip(),), int(time.time() * 1000)))
+        self.brokers, self.act = brokers, wire.act_body(Doubt(DOUBTER, duty, servers))
+        self.heard = asyncio.Event()
+
+    def body(self, body: bytes, source: Address) -> None:
+        self.heard.set()
+
+    async def run(self) -> None:
+        while True:
+            for address in self.brokers.values():
+                self.send(address, self.act)
+            await asyncio.sleep(0.2)
+
+
+class Stage:
+    """The processes of a scene, with servers, list, rig and doubter. duties: settings of theirs beside the defaults."""
+
+    def __init__(self, scene: Scene, folder: Path, duties: dict[str, Any]) -> None:
+        self.scene, self.folder = scene, folder
+        self.rng = random.Random(scene.seed)
+        self.lines: list[Line] = []
+        self.marks: list[tuple[float, str]] = []
+        self.names = [f"broker-{i}" for i in range(scene.brokers)]
+        self.voters = self.names[: scene.voters]
+        self.processes: dict[str, BrokerProcess] = {}
+        self.fronts: dict[str, str] = {}
+        self.down: set[str] = set()
+        self.rig = Rig(scene.seed, self.lines.append)
+        self.duties = duties
+        base = load(RATES)
+        self.world = World(base.layout.shards, base.layout.cells, base.layout.reach, scene.seed, lambda line: None)
+        self.doubter: _Doubter
+
+    async def start(self) -> None:
+        scene, replace = self.scene, msgspec.structs.replace
+        (self.folder / "key").write_bytes(KEY)
+        base = load(RATES)
+        await self.world.start(3, 1, Model(part_ms=1.0, call_ms=0.2))
+        ports = {name: free_port(socket.SOCK_DGRAM) for name in self.names}
+        for name in self.names:
+            self.fronts[name] = await self.rig.add(name, ports[name])
+        voters = tuple(VoterAt(name, self.fronts[name]) for name in self.voters)
+        for index, name in enumerate(self.names):
+            if name in self.voters:
+                create(self.folder / name, name, self.voters)
+            duties = Duties(
+                (str(self.folder / "key"),), voters, port=ports[name], advertise=self.fronts[name],
+                store=str(self.folder / name) if name in self.voters else None, **self.duties,
+            )  # fmt: skip
+            settings: Settings = replace(
+                base,
+                schema=str((RATES.parent / base.schema).resolve()),
+                listen=replace(base.listen, port=free_port()),
+                identity=replace(base.identity, index=index, count=scene.brokers),
+                discovery=replace(base.discovery, port=self.world.registry.http.address[1]),
+                duties=duties, log=Log(level="info"),
+            )  # fmt: skip
+            rate = 1.0 + self.rng.choice((-1.0, 1.0)) * scene.drift
+            program = ["badgerbend", "run"] if not scene.drift else ["badgerbend.standin.drifted"]
+            after = [] if not scene.drift else [str(rate)]
+            self.processes[name] = BrokerProcess(settings, self.folder / f"{name}.conf", program, after)
+        await asyncio.gather(*(p.start() for p in self.processes.values()))
+        brokers = {name: wire.address(at) for name, at in self.fronts.items()}
+        self.doubter = _Doubter(brokers, tuple(self.world.servers), "probe")
+        port = free_port(socket.SOCK_DGRAM)
+        await self.doubter.open("127.0.0.1", port)
+        self.doubter.own = wire.address(await self.rig.add(DOUBTER, port))
+        self.task = asyncio.ensure_future(self.doubter.run())
+        async with asyncio.timeout(30.0):  # the first act: there is a holder
+            await self.doubter.heard.wait()
+
+    # -- who is who, from what passed
+    def who(self, who: Who) -> list[str]:
+        up = [n for n in self.names if n not in self.down]
+        holder, leader = self.holder(), self.leader()
+        match who:
+            case "holder":
+                return [holder]
+            case "leader":
+                return [leader]
+            case "follower":
+                return [self.rng.choice([n for n in self.voters if n in up and n != leader] or self.voters)]
+            case "voter":
+                return [self.rng.choice([n for n in self.voters if n in up] or self.voters)]
+            case "other":
+                return [self.rng.choice([n for n in up if n != holder] or up)]
+            case "all":
+                return list(self.names)
+
+    def holder(self) -> str:
+        return next((str(r["from"]) for r in reversed(self.lines) if r["to"] == DOUBTER), self.names[0])
+
+    def leader(self) -> str:
+        for row in reversed(self.lines):
+            message = message_of(row["data"])
+            if isinstance(message, Told) and message.leads:
+                return message.source
+        return self.voters[0]
+
+    # -- events
+    async def event(self, event: Event) -> None:
+        await asyncio.sleep(event.at)
+        names = self.who(event.who)
+        self.marks.append((time.monotonic() * 1000.0, f"{event.do} {' '.join(names)}"))
+        if event.do in ("restart",):
+            for name in names:  # a rolling one
+                await self.processes[name].ended()
+                await self.processes[name].start()
+            return
+        await asyncio.gather(*(self._do(event, name) for name in names))
+
+    async def _do(self, event: Event, name: str) -> None:
+        process, others = self.processes[name], [n for n in (*self.names, DOUBTER) if n != name]
+        match event.do:
+            case "kill" | "end":
+                self.down.add(name)
+                await (process.killed() if event.do == "kill" else process.ended())
+                await asyncio.sleep(event.for_)
+                await process.start()
+                self.down.discard(name)
+            case "stop":
+                process.send(signal.SIGSTOP)
+                await asyncio.sleep(event.for_)
+                process.send(signal.SIGCONT)
+            case "heal":
+                self.rig.heal()
+            case "cut" | "one-way" | "delay" | "loss" | "cut-voters":
+                state: dict[str, Any] = {"cut": True}
+                if event.do == "delay":
+                    state = {"delay_s": event.size / 1000.0}
+                elif event.do == "loss":
+                    state = {"loss": event.size}
+                to = [n for n in self.voters if n != name] if event.do == "cut-voters" else others
+                self.rig.between([name], to, event.do != "one-way", **state)
+                await asyncio.sleep(event.for_)
+                self.rig.between([name], to, event.do != "one-way", cut=False, delay_s=0.0, loss=0.0)
+
+    async def stop(self) -> list[int]:
+        self.task.cancel()
+        ends = await asyncio.gather(*(p.ended() for p in self.processes.values() if p.process is not None))
+        await self.world.close()
+        self.doubter.shut()
+        self.rig.close()
+        return list(ends)
+
+
+async def play(scene: Scene, keep: Path | None = None, **duties: Any) -> Played:
+    """Plays a scene and judges it. keep: a folder for stores, settings and logs. duties: settings of theirs."""
+    with contextlib.ExitStack() as stack:
+        folder = keep or Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        os.makedirs(folder, exist_ok=True)
+        stage = Stage(scene, folder, {"probe_every_ms": 40.0, **duties})
+        ends: list[int] = []
+        try:
+            await stage.start()
+            began = time.monotonic() * 1000.0
+            events = [asyncio.ensure_future(stage.event(e)) for e in scene.event]
+            await asyncio.sleep(scene.seconds)
+            done = await asyncio.gather(*events, return_exceptions=True)
+            for outcome in done:
+                if isinstance(outcome, BaseException):
+                    raise outcome
+        finally:
+            ends = await stage.stop()
+        return Played(judge(stage.lines), stage.lines, began, stage.marks, ends)
--- a/tests/simvoters.py
+++ b/tests/simvoters.py
@@ -133,7 +133,7 @@
             self.applied_at[name, process.life] = process.one.raft.applied
         else:
             near = {"probe": name != "b2", "deal": True}
-            process.one = self.holder(name, near, self.voters, self.terms, seed, local)
+            process.one = self.holder(name, f"at-{name}", near, self.voters, self.terms, seed, local)
             self._at(0.005, self._act, name, process.life)
         self._wake(process)
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -258,13 +258,13 @@
 
 
 def holder(now=0.0):
-    one = Holder("b0", {"probe": True}, ("v0", "v1"), Terms(), 1, now)
+    one = Holder("b0", "127.0.0.1:1", {"probe": True}, ("v0", "v1"), Terms(), 1, now)
     one.tick(now + 1.0)
     return one, one.take()[0][1].seq
 
 
 def told(seq, epoch=5, renewed=True, holder="b0", yields=False):
-    return Told("v0", seq, "v0", True, (Line("probe", holder, epoch, renewed, yields),))
+    return Told("v0", seq, "v0", True, (Line("probe", holder, "127.0.0.1:1", epoch, renewed, yields),))
 
 
 def test_a_grant_alone_lets_nobody_act_and_a_renewal_counts_from_its_request():
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -17,8 +17,9 @@
     "graphql": {"api", "config", "net", "runtime"},
     "membership": set(),
     "consensus": set(),
-    "duties": {"consensus"},
+    "duties": {"api", "consensus"},
     "ledger": {"consensus"},
+    "rota": {"config", "consensus", "discovery", "duties", "ledger", "log", "metrics", "net", "runtime"},
     "knowledge": {"api"},
     "snapshot": {"knowledge"},
     "peering": {
@@ -35,7 +36,8 @@
 }  # fmt: skip
 PURE = (
     "consensus/log.py", "consensus/messages.py", "consensus/raft.py", "duties/fence.py", "duties/holder.py",
-    "duties/keeper.py", "duties/messages.py", "duties/table.py", "duties/voter.py",
+    "duties/keeper.py", "duties/messages.py", "duties/probing.py", "duties/table.py", "duties/voter.py",
+    "rota/wire.py", "standin/acts.py",
     "config/sexpr.py", "config/decode.py", "discovery/directory.py", "discovery/lines.py", "frames/codec.py",
     "platform/names.py", "knowledge/record.py", "knowledge/trust.py",
     "membership/messages.py", "membership/swim.py", "runtime/ports.py", "graphql/checks.py", "graphql/selection.py",
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,8 +10,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from badgerbend.membership.messages import MOST_BYTES, Malformed, Ping, State, Sync, Update, decode, encode, fill
-from badgerbend.membership.seal import Refused, Seal
 from badgerbend.membership.swim import Swim, Tuning
+from badgerbend.net.seal import Refused, Seal
 from badgerbend.standin.network import Network
 
 QUICK = Tuning(retry_dead_every=3, sync_every=10)
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -13,8 +13,8 @@
 from badgerbend.config.sexpr import SettingsError
 from badgerbend.knowledge.record import Answer, Record, Server, encode
 from badgerbend.membership.messages import State
-from badgerbend.membership.seal import BadKey, read_key
 from badgerbend.net.client import Pool, PoolLimits
+from badgerbend.net.seal import BadKey, read_key
 from badgerbend.peering.exchange import Teller, ask
 from badgerbend.snapshot.store import pack, write
 from badgerbend.standin.client import Client
--- /dev/null
+++ b/tests/test_scenes.py
@@ -0,0 +1,131 @@
+"""Brokers as processes with a rig between them: who acts, judged by what passed. Waits are for that, not for times."""
+
+import asyncio
+import signal
+
+import uvloop
+
+from badgerbend.duties.messages import Found, Told
+from badgerbend.net.fetch import fetch
+from badgerbend.net.seal import Seal
+from badgerbend.net.udp import sender_of
+from badgerbend.rota import wire
+from badgerbend.standin.acts import judge, message_of
+from badgerbend.standin.scene import Scene, Stage
+from tests.sockets import until
+
+LIMIT_S = 100.0  # a test that hangs fails by this; no verdict rests on it otherwise
+
+
+def play(tmp_path, main, scene):
+    async def staged():
+        async with asyncio.timeout(LIMIT_S):
+            stage = Stage(scene, tmp_path, {"probe_every_ms": 40.0})
+            try:
+                await stage.start()
+                await main(stage)
+            finally:
+                ends = await stage.stop()
+            return judge(stage.lines), ends
+
+    judged, ends = uvloop.run(staged())
+    assert [(f.name, f.cases) for f in judged.findings if f.cases] == []
+    assert all(f.checked for f in judged.findings)
+    return judged, ends
+
+
+def acts_of(stage, name, since):
+    return any(r["from"] == name and r["k"] == "passed" and r["to"] == "doubter" for r in stage.lines[since:])
+
+
+async def another_holds(stage, old):
+    """Until somebody else's acts arrive; who that is."""
+    since = len(stage.lines)
+    await until(lambda: any(acts_of(stage, n, since) for n in stage.names if n != old))
+    return stage.holder()
+
+
+def test_the_holder_stops_ends_is_killed_and_cut_off_and_one_acts_at_a_time(tmp_path):
+    async def main(stage):
+        old = stage.holder()  # it stands still, for longer than its lease, and goes on
+        stage.processes[old].send(signal.SIGSTOP)
+        new = await another_holds(stage, old)
+        since = len(stage.lines)
+        stage.processes[old].send(signal.SIGCONT)
+        await until(lambda: any(r["from"] == old for r in stage.lines[since:]))  # it speaks again, and acts no more
+        await until(lambda: acts_of(stage, new, since))
+        assert not acts_of(stage, old, since)
+
+        old = new  # it is told to end: what it holds goes on at once, and not after its lease
+        since = len(stage.lines)
+        ended = asyncio.ensure_future(stage.processes[old].ended())
+        new = await another_holds(stage, old)
+        assert await ended == 0
+        assert any(r["from"] == old and r["to"] in stage.voters for r in stage.lines[since:])
+        await stage.processes[old].start()
+
+        old = new
+        await stage.processes[old].killed()
+        new = await another_holds(stage, old)
+        await stage.processes[old].start()
+
+        old = new  # cut off from the others, voters or not, and from nobody else
+        stage.rig.between([old], [n for n in stage.names if n != old], cut=True)
+        new = await another_holds(stage, old)
+        stage.rig.heal()
+        since = len(stage.lines)
+        await until(lambda: any(r["from"] == old and r["to"] in stage.voters for r in stage.lines[since:]))
+        await until(lambda: acts_of(stage, new, len(stage.lines) - 50 if len(stage.lines) > 50 else 0))
+
+    judged, ends = play(tmp_path, main, Scene(seconds=1.0, drift=0.01))
+    assert len(judged.holdings) >= 5 and ends == [0] * 5
+
+
+def test_the_leader_goes_and_two_of_three_voters_and_the_duty_is_held_again(tmp_path):
+    async def main(stage):
+        leader = stage.leader()
+        await stage.processes[leader].killed()
+
+        def leads(since):
+            found = [message_of(r["data"]) for r in stage.lines[since:] if r["k"] == "passed"]
+            return {m.source for m in found if isinstance(m, Told) and m.leads}
+
+        since = len(stage.lines)
+        await until(lambda: leads(since) - {leader})
+        await stage.processes[leader].start()
+        pair = [n for n in stage.voters if n != stage.leader()][:1] + [stage.leader()]
+        holder = stage.holder()
+        await asyncio.gather(*(stage.processes[n].killed() for n in pair))
+        since = len(stage.lines)
+        await until(lambda: sum(r["to"] in stage.voters for r in stage.lines[since:]) > 100)
+        assert not leads(since)  # no majority: nobody is given anything, and whoever held has stopped or will
+        await asyncio.gather(*(stage.processes[n].start() for n in pair))
+        since = len(stage.lines)
+        await until(lambda: any(acts_of(stage, n, since) for n in stage.names))
+        assert holder in stage.names
+
+    play(tmp_path, main, Scene(seconds=1.0, brokers=4))
+
+
+def test_a_rolling_restart_hands_all_over_and_a_forged_act_takes_no_effect(tmp_path):
+    async def main(stage):
+        for name in stage.names:
+            assert await stage.processes[name].ended() == 0
+            await stage.processes[name].start()
+        since = len(stage.lines)
+        await until(lambda: any(acts_of(stage, n, since) for n in stage.names))
+        # an act under an epoch of the far future, from one without the key; and an old datagram once more
+        name = stage.names[0]
+        target, front = stage.rig.fronts[name].real, stage.rig.fronts["doubter"].transport
+        act = wire.act_body(Found("doubter", "probe", 1 << 40, ()))
+        front.sendto(Seal((b"another key, not theirs",), 1).close(act, sender_of(stage.doubter.own)), target)
+        said = [r["data"] for r in stage.lines if (r["from"], r["to"]) == ("doubter", name)]
+        front.sendto(said[-1], target)
+        port = stage.processes[name].settings.listen.port
+        while (await fetch(port, "/duties"))["refused"] < 2:
+            await asyncio.sleep(0.01)
+        since = len(stage.lines)
+        await until(lambda: any(acts_of(stage, n, since) for n in stage.names))
+
+    judged, ends = play(tmp_path, main, Scene(seconds=1.0, brokers=4))
+    assert len({h.holder for h in judged.holdings}) >= 2 and ends == [0] * 4
--- a/tests/test_siting.py
+++ b/tests/test_siting.py
@@ -13,7 +13,7 @@
 from badgerbend.cli import app
 from badgerbend.config import settings as cfg
 from badgerbend.config.sexpr import SettingsError
-from badgerbend.standin.client import fetch
+from badgerbend.net.fetch import fetch
 from badgerbend.standin.day import load_day, play
 
 EXAMPLES = Path(__file__).parent.parent / "examples" / "sites"
