--- /dev/null
+++ b/benchmarks/agreement.py
@@ -0,0 +1,108 @@
+"""Agreement over thousands of seeds, defects that must be found, and every interleaving to a depth.
+
+python benchmarks/agreement.py seeds --count 10000
+python benchmarks/agreement.py mutants --count 2000
+python benchmarks/agreement.py model --depth 10
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).parent.parent)]
+
+from tests.modelvoters import search  # noqa: E402
+from tests.mutants import MUTANTS  # noqa: E402
+from tests.simvoters import Broken, Chaos, World  # noqa: E402
+
+CHAOS = (
+    Chaos(),
+    Chaos(voters=5, loss=0.15, every_s=0.4),
+    Chaos(sync=(0.01, 0.3), slow_sync=0.1, every_s=0.3),
+    Chaos(rate=0.1, late=0.1, every_s=0.4, compact=8),
+)
+
+
+def one_seed(seed: int) -> tuple[int, str, int, int, int, int]:
+    """Seed, what broke, acts that took effect, acts refused, terms with a leader, entries."""
+    world = World(seed, CHAOS[seed % len(CHAOS)])
+    try:
+        world.run(12)
+        world.heal()
+        world.run(10)
+        wrong = "" if world.settled() else "not settled 10 s after the last trouble"
+    except Broken as err:
+        wrong = str(err)
+    return seed, wrong, world.acts, world.refused, world.elections, len(world.chosen)
+
+
+def seeds(count: int, first: int) -> int:
+    began, wrong, sums = time.monotonic(), 0, [0, 0, 0, 0]
+    with ProcessPoolExecutor() as pool:
+        for seed, what, *counts in pool.map(one_seed, range(first, first + count), chunksize=20):
+            sums = [a + b for a, b in zip(sums, counts, strict=True)]
+            if what:
+                wrong += 1
+                print(f"seed {seed}: {what}")
+    acts, refused, elections, entries = sums
+    print(
+        f"{count} seeds from {first}, {len(CHAOS)} kinds of chaos in turn, {time.monotonic() - began:.0f} s on "
+        f"{os.cpu_count()} cores: {wrong} wrong; {acts} acts took effect, {refused} were refused for their epoch, "
+        f"{elections} terms had a leader, {entries} entries were chosen"
+    )
+    return 1 if wrong else 0
+
+
+def hunt(job: tuple[str, int]) -> tuple[str, int, str, int]:
+    """A defect: how many seeds found it, what the first said, and which that was."""
+    name, count = job
+    kinds, chaos = MUTANTS[name]
+    found, first, said = 0, -1, ""
+    for seed in range(count):
+        try:
+            World(seed, chaos, **kinds).run(10)
+        except Broken as err:
+            found += 1
+            if first < 0:
+                first, said = seed, str(err)
+    return name, found, said, first
+
+
+def mutants(count: int) -> int:
+    missed = 0
+    with ProcessPoolExecutor() as pool:
+        for name, found, said, first in pool.map(hunt, [(name, count) for name in MUTANTS]):
+            missed += not found
+            print(f"{name}: found by {found} of {count} seeds, first {first}: {said}")
+    return 1 if missed else 0
+
+
+def model(depth: int) -> int:
+    for stand, propose, crash in ((2, 0, 1), (2, 1, 0), (3, 0, 0)):
+        began = time.monotonic()
+        states = search(depth, stand=stand, propose=propose, crash=crash)
+        took = time.monotonic() - began
+        bounds = f"{stand} candidacies, {propose} proposals, {crash} crashes"
+        print(f"depth {depth}, {bounds}: {states} states, {took:.0f} s")
+    return 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("what", choices=("seeds", "mutants", "model"))
+    parser.add_argument("--count", type=int, default=1000)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--depth", type=int, default=9)
+    args = parser.parse_args()
+    if args.what == "seeds":
+        return seeds(args.count, args.first)
+    return mutants(args.count) if args.what == "mutants" else model(args.depth)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
