--- a/badgerbend/cli.py
+++ b/badgerbend/cli.py
@@ -17,7 +17,7 @@
 from badgerbend.broker import Broker, read_subgraph
 from badgerbend.cli_duties import duties, voters
 from badgerbend.config import decode
-from badgerbend.config.settings import Settings, load
+from badgerbend.config.settings import Settings, form_name, load
 from badgerbend.config.sexpr import SettingsError
 from badgerbend.graphql.schema import SchemaError, Subgraph
 from badgerbend.knowledge.record import Record
@@ -26,6 +26,7 @@
 from badgerbend.snapshot.store import BadSnapshot, read
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="An aggregator that spreads queries over shards.")
+GAP_S = 6.0  # after each event of a scene, acts are looked for so long
 Config = Annotated[Path, typer.Argument(help="The settings file.")]
 
 
@@ -249,10 +250,12 @@
         typer.Option(help="module; baselines: least, all (of r), anywhere, unlimited, priority (of sites)."),
     ] = "module",
 ) -> None:
-    """Plays a scripted day with brokers as processes of their own; status 1 if a rule was broken."""
+    """Plays a scripted day, or a scene of duties, with brokers as processes; status 1 if a rule was broken."""
     from badgerbend.standin.day import load_day, play
 
     try:
+        if form_name(file) == "scene":
+            _scene(file, report, keep)
         plan = load_day(file)
     except SettingsError as err:
         stop(str(err), BAD_SETTINGS)
@@ -273,5 +276,33 @@
     raise typer.Exit(1 if broken else 0)
 
 
+def _scene(file: Path, report: Path | None, keep: Path | None) -> None:
+    from badgerbend.standin.acts import table
+    from badgerbend.standin.scene import load_scene, play
+
+    try:
+        scene = load_scene(file)
+    except SettingsError as err:
+        stop(str(err), BAD_SETTINGS)
+    played = uvloop.run(play(scene, keep))
+    console = Console(width=110)
+    shown = Table(title=f"{file}: {scene.seconds:g} s, {scene.brokers} brokers, {scene.voters} voters (loopback)")
+    for heading in ("duty", "epoch", "holder", "first act, s", "last", "acts", "stale"):
+        shown.add_column(heading)
+    for row in table(played.judged.holdings, played.began):
+        shown.add_row(*row)
+    console.print(shown)
+    for number, (at, what) in enumerate(played.marks):
+        gap = played.after(number, GAP_S)
+        console.print(f"{(at - played.began) / 1000:6.2f} s {what}: no act for {gap:.0f} ms within {GAP_S:g} s")
+    broken = [f"{f.name}: {case}" for f in played.judged.findings for case in f.cases]
+    for line in broken:
+        console.print(line, highlight=False)
+    if report is not None:
+        report.write_text(json.dumps(played.as_json(), indent=2) + "\n", encoding="utf-8")
+    print(f"rules broken: {sum(1 for f in played.judged.findings if f.cases)} of {len(played.judged.findings)}")
+    raise typer.Exit(1 if broken else 0)
+
+
 if __name__ == "__main__":
     main()
--- a/badgerbend/config/settings.py
+++ b/badgerbend/config/settings.py
@@ -424,6 +424,14 @@
     return form
 
 
+def form_name(path: str | Path) -> str:
+    """The name of a file's first form, as `day`; empty where there is none. Raises SettingsError."""
+    items = read(read_text(path), str(path))
+    form = items[0] if items else None
+    head = form.items[0] if isinstance(form, Form) and form.items else None
+    return head.value.name if isinstance(head, Atom) and isinstance(head.value, Symbol) else ""
+
+
 def module_settings(s: Settings) -> api.Settings:
     """What the decision module is told of the settings."""
     return api.Settings(
--- a/badgerbend/standin/scene.py
+++ b/badgerbend/standin/scene.py
@@ -92,6 +92,22 @@
         return self.judged.gaps(t, t + until_s * 1000.0)[0][0]
 
 
+    def as_json(self) -> dict[str, Any]:
+        return {
+            "rules": [{"name": f.name, "checked": f.checked, "cases": f.cases[:20]} for f in self.judged.findings],
+            "holdings": [
+                {"duty": h.duty, "epoch": h.epoch, "holder": h.holder, "acts": h.acts, "stale": h.stale,
+                 "first_s": round((h.first - self.began) / 1000, 3), "last_s": round((h.last - self.began) / 1000, 3)}
+                for h in self.judged.holdings
+            ],
+            "events": [
+                {"at_s": round((at - self.began) / 1000, 3), "what": what, "gap_ms": round(self.after(n, 6.0))}
+                for n, (at, what) in enumerate(self.marks)
+            ],
+            "ends": self.ends,
+        }  # fmt: skip
+
+
 def load_scene(path: Path) -> Scene:
     """Raises SettingsError."""
     return decode.decode(Scene, only_form(read_text(path), str(path), "scene"), str(path), "scene")
