Of equal servers a proven one first; queries that need all parts let in by how their cells fared

At fault: _pick took any of equal holders, known or not (line 'ties'); _arrived went by times alone and never by what came of it; _late_after rises with the trouble.

Change: of equal servers one that answered within five seconds on an open connection, or that slow start lets in; 3 in 100 choices meet another. A further attempt leaves itself as much time as the first had. An idle connection that answered late takes distrust back also at the mark itself (was: only beyond).

--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -5,7 +5,7 @@
 import random
 from collections import Counter, deque
 from itertools import accumulate, pairwise
-from math import inf, isfinite
+from math import inf, isfinite, prod
 from statistics import fmean, median
 
 from badgerbend import api
@@ -24,6 +24,7 @@
 LATE_MIDDLES = 3.0  # so many times the middle answer is late: parts of one kind differ by less
 FADE_MS = 10_000.0  # what a server's answers took counts half after this
 LAST_WEIGHT = 0.4  # and the last of them so much: three tell a slow server from a slow part
+MEET = 0.03  # of choices among equals: one not proven, or a newcomer would stay idle beside those that are
 COLD_PACE = 0.75  # of the multiple that fells a cold server: the rest is for chance and for others' guesses
 BEGUN_MS = 5.0  # a connection that breaks sooner, a round trip, did so before the part can have begun
 SLOW_CALLS = 4.0  # a slow server counts as so many more calls out at most
@@ -32,6 +33,7 @@
 RISK_MOST = 5.0  # what can be saved up of it
 COPY_PAYS = 1.5  # a copy first to answer pays for more than itself: two of three must win to go on
 REFUSE_AT = 0.7  # turn away what is foreseen to take more than this share of the time to its aim
+EVEN = 0.5  # odds below which a query is let in the more seldom the worse they are
 REFUSE_OVER_QUOTA_AT = 0.5  # sooner for a tenant beyond its quota: what it adds is worth little
 ASK_FIRST = 8.0  # a failed call to the list is repeated in an eighth of the time for asking, then twice that
 LOST_SHARE = 0.2  # of parts sent on idle connections: more lost than this is no chance nor a few deaths
@@ -100,6 +102,7 @@
         self.attempts: dict[tuple[int, int], _Attempt] = {}  # all that are out, called off or not
         self.judged: deque[_Attempt] = deque(maxlen=2 * FEW)  # those answered, lost or late
         self.idle_most, self.idle_until, self.stuck = inf, -inf, 0.0  # idle trusted, until; new ones stuck
+        self.fared: dict[int, tuple[float, float]] = {}  # by cell: share of queries it served whole, and when
         self.lost: dict[int, float] = {}  # by zone: share of parts lost or late, a running mean
         self.record: deque[tuple[float, float, bool]] = deque(maxlen=WINDOW_COUNT)  # when, latency, censored
         self.latencies, self.weights = list[float](), list[float]()  # its distribution; weights are sums
@@ -302,7 +305,18 @@
         calls = [self._calls(n) for n in pool]
         ties = [n for n, load in zip(pool, calls, strict=True) if load == min(calls)]
         riding = [n for n in ties if self.set.parts_per_call > 1 and self.now in n.out.values()]
-        return self.rng.choice(riding or ties) if ties else None
+        meets = self.rng.random() < MEET
+        chosen = [n for n in ties if self._proven(n) != meets]
+        return self.rng.choice(riding or chosen or ties) if ties else None
+
+    def _proven(self, node: _Node) -> bool:
+        """Answered this broker lately, on a connection still up: of equals the better bet, and no handshake.
+        A broker that sees little would else meet each bad server in its turn. Its own concurrency widens the
+        choice, slowness ends it. As good: one that slow start lets in, known to be new. Harm: one that came
+        warm waits longer for its share; `MEET` gives it one."""
+        if node.died_at == inf and self._warmth(node) < 1.0:
+            return True
+        return node.time_at > self.now - FADE_MS / 2 and not node.told and self._idle(node) < inf
 
     def _nearest(self, part: _Part, pool: list[_Node]) -> list[_Node]:
         """Those at the site that a part goes to; which of them is decided here. The sound if any is."""
@@ -328,7 +342,11 @@
         fewest = query.fewest(cls.need)
         barred = self.sites and not self.sites.takes(e, over, fewest)
         if not query.parts or barred or self._foreseen(query) >= min(most, query.end_at - self.now):
-            self._end(query, self._give_up(query, "no site takes it" if barred else "foreseen to be late"))
+            why = "no site takes it" if barred else "foreseen to be late"
+            self._end(query, self._give_up(query, why))
+            return
+        if fewest == len(query.parts) and self.rng.random() > self._odds(query) / EVEN:
+            self._end(query, self._give_up(query, "more likely lost than answered"))
             return
         query.wanted = self._redundancy(fewest, len(query.parts))
         query.scout = e.is_retry or self.now - self.killing_at < DEATHS_MS
@@ -339,6 +357,27 @@
         for _ in range(1 if query.scout else query.wanted):
             self._try(query.held.pop())
 
+    def _odds(self, query: _Query) -> float:
+        """That a query which needs all its parts gets them, by how others fared with its cells lately; what
+        was not seen speaks neither way. Guards against work on queries that lose one part of ten. Harm: after
+        a trouble it takes some answers, or seconds, until all are let in again."""
+        return prod(self._fared(cell) for cell in {p.shard % self.set.cells for p in query.parts})
+
+    def _fared(self, cell: int) -> float:
+        """The share of queries that got all their parts of a cell: the last weighs most, and fades to all."""
+        share, at = self.fared.get(cell, (1.0, self.now))
+        return 1.0 - (1.0 - share) * 2 ** -((self.now - at) / (FADE_MS / 2))
+
+    def _tell_cells(self, query: _Query, last: api.Action) -> None:
+        """One lost query is one loss, shared by the cells that lost it. A client with less time than its
+        class should have tells nothing of cells without an answer."""
+        whole = isinstance(last, api.Answer) and query.whole
+        lost = {p.shard % self.set.cells for p in query.parts if not (whole or p.done)}
+        for cell in {p.shard % self.set.cells for p in query.parts if p.tries}:
+            if cell not in lost or query.end_at >= query.aim_at:
+                share, weight = self._fared(cell), LAST_WEIGHT / (len(lost) if cell in lost else 1)
+                self.fared[cell] = share + ((cell not in lost) - share) * weight, self.now
+
     def _foreseen(self, query: _Query) -> float:
         """How long a query taken now would take to the least it may be answered with: what its shards'
         servers took lately, by order statistic of recent answers over their mean; its slowest at least."""
@@ -379,6 +418,13 @@
         """The age at which an attempt is late; a part with a costly hint, so much later."""
         return (self.late or inf) * max(1.0, part.cost / (self.cost or inf))
 
+    def _patience(self, part: _Part, since: float) -> float:
+        """How long an attempt sent then is waited for before a further one: no longer than leaves that one as
+        much of the time to the aim, though twice what a usual answer takes. Guards against a mark that rises
+        with the trouble it is there for. Harm: copies where all are slow, which `credit` bounds."""
+        half = (part.query.aim_at - since) / 2
+        return min(self._late_after(part), max(half, 2 * self.usual) if half > 0 else inf)
+
     def _spent(self, part: _Part) -> bool:  # no further attempt will ever be allowed
         return part.tries >= self.set.max_attempts or (part.once and bool(part.maybe_ran))
 
@@ -518,7 +564,7 @@
     def _judge(self, attempt: _Attempt, lost: bool) -> None:
         """Guards against connections dropped unseen while idle (reset, or no answer). Acts for half a minute
         when most parts beyond some idle time are lost. Harm: new connections, where handshakes are slow."""
-        mistaken = attempt.lost and not lost and self.idle_most < attempt.idle < inf  # late, but answered
+        mistaken = attempt.lost and not lost and self.idle_most <= attempt.idle < inf  # late, but answered
         self.judged.extend([attempt] if attempt.lost is None and attempt.idle < inf else [])
         attempt.lost, zone = lost, attempt.node.zone
         self.lost[zone] = self.lost.get(zone, 0.0) * (1 - MEAN_WEIGHT) + lost * MEAN_WEIGHT
@@ -542,8 +588,9 @@
                 query.look_at = self.now + AGAIN_MS
                 for part in [p for p in query.parts if not p.done and p not in query.held]:
                     since = max((a.sent for a in part.out.values()), default=-inf)
-                    if self.now < since + self._late_after(part):
-                        query.look_at = min(query.look_at, since + self._late_after(part))
+                    late_at = since + self._patience(part, since)
+                    if self.now < late_at:
+                        query.look_at = min(query.look_at, late_at)
                     else:
                         for n, attempt in list(part.out.items()):
                             self._judge(attempt, lost=True)  # for now
@@ -585,6 +632,8 @@
 
     def _end(self, query: _Query, last: api.Action | None) -> None:
         self.acts.extend([last] if last else [])
+        if last and query.step == 1:  # a client that left tells nothing
+            self._tell_cells(query, last)
         self._drop_parts(query)
         del self.queries[query.id], self.by_number[query.number]
         query.parts, query.held = [], []  # they point back: else each query waits for the garbage collector
--- /dev/null
+++ b/tests/test_little_traffic.py
@@ -0,0 +1,103 @@
+"""What a broker that sees little of each server goes by: proven servers, how cells fared, time for another attempt."""
+
+from collections import Counter
+
+import pytest
+from conftest import ALL, ANY, Bench, line, of
+
+from badgerbend import api
+from badgerbend.api import Outcome
+
+TWO_EACH = [line(10 + i, i % 4) for i in range(8)]
+
+
+def ask(b, cls=ALL, outcome=Outcome.OK, ms=40.0, shard=0, parts=4, left=3000.0):
+    """One query to its end: each attempt ends so. Returns the servers it was sent to."""
+    sent, (_, acts) = [], b.query(cls, parts=parts, shard=shard, left=left)
+    while sends := of(api.Send, acts):
+        sent += [a.node for a in sends]
+        acts = b.wait(ms)
+        for a in sends:
+            acts += b.finish(a.part, outcome, b.tries[a.part] - 1)
+    return sent
+
+
+def test_of_equal_servers_those_that_answered_come_first_and_now_and_then_another():
+    # Each broker met each bad server of a cell in its turn: 30% of the parts at a zone's loss, and a handshake each.
+    b = Bench(lines=TWO_EACH, reach=1, extra_free=1000.0)
+    sent = Counter()
+    for _ in range(200):
+        sent.update(ask(b, shard=0, parts=1))
+    (_, most), (_, fewest) = sent.most_common()
+    assert sum(sent.values()) == 200 and most > fewest > 0
+    b = Bench(lines=TWO_EACH, reach=1, extra_free=1000.0)
+    turns, last = 0, None
+    for _ in range(100):
+        b.wait(1500.0)  # a broker with a query every few seconds for each cell
+        (node,) = ask(b, shard=0, parts=1)
+        turns, last = turns + (node != last), node
+    assert turns < 40  # it was every second one
+    b.wait(6000.0)  # what was seen so long ago proves nothing
+    assert not any(b.agg._proven(n) for n in b.agg.nodes.values())
+
+
+def test_a_proven_server_that_is_busy_or_slow_is_passed_over():
+    b = Bench(lines=TWO_EACH, reach=1, extra_free=1000.0)
+    b.learn(ms=40.0)
+    first = ask(b, parts=1)[0]
+    b.query(ALL, parts=1)
+    _, acts = b.query(ALL, parts=1)  # one of the two is out there
+    out = [n.id for n in b.agg.nodes.values() if n.out]
+    assert sorted(out) == [10, 14] and first in out
+    for part in [a.part for a in of(api.Send, acts)]:
+        b.finish(part)
+
+
+def test_a_started_server_gets_what_it_may_be_sent_though_others_are_proven():
+    b = Bench(lines=[line(10, 0), line(11, 0)], cells=1, reach=1, cold_ms=3000.0, extra_free=1000.0)
+    for _ in range(60):
+        ask(b, parts=1)
+    b.do(api.View(api.ViewKind.DELTA, (line(12, 0, started=b.now),)))
+    sent = Counter()
+    for _ in range(60):
+        sent.update(ask(b, parts=1))
+    assert sent[12] > 60 * 0.2 / 3
+
+
+def test_queries_that_need_all_are_let_in_by_how_their_cells_fared():
+    # Two thirds of the work under a zone's loss went into queries that lost one part of ten.
+    b = Bench(lines=TWO_EACH, reach=1, extra_free=1000.0, max_attempts=1)
+    for _ in range(5):
+        ask(b, parts=1, shard=2, outcome=Outcome.ERROR)
+    refused = sum(bool(of(api.Refuse, b.query(ALL, parts=2, shard=2)[1])) for _ in range(40))
+    assert 20 < refused < 40  # now and then one is let in, or nothing would be learned
+    assert {a.why for a in of(api.Refuse, b.log)} >= {"more likely lost than answered"}
+    assert not any(of(api.Refuse, b.query(ALL, parts=2, shard=0)[1]) for _ in range(10))  # other cells
+    assert not any(of(api.Refuse, b.query(ANY, parts=4, shard=0)[1]) for _ in range(10))  # it can do without one
+    b.wait(3500.0)  # all of these end, lost
+    b.wait(40_000.0)
+    assert b.agg._fared(2) > 0.95 and b.agg._fared(0) > 0.95  # it fades
+
+
+def test_an_answer_counts_for_a_cell_and_an_impatient_client_against_none():
+    b = Bench(lines=TWO_EACH, reach=1, extra_free=1000.0)
+    b.query(ALL, parts=1, shard=1, left=200.0)
+    b.wait(400.0)
+    assert of(api.Refuse, b.log) and b.agg._fared(1) == 1.0
+    b.query(ALL, parts=1, shard=1)
+    b.wait(3200.0)
+    low = b.agg._fared(1)
+    assert low < 0.7
+    ask(b, parts=1, shard=1)
+    assert b.agg._fared(1) > low + 0.1
+
+
+@pytest.mark.parametrize(("ms", "mark"), [(60.0, 180.0), (200.0, 500.0), (300.0, 600.0)])
+def test_a_further_attempt_is_left_as_much_time_as_the_first_had(ms, mark):
+    # The mark of lateness rose with the trouble: second attempts went out at 230 of 350 ms, as a rule too late.
+    b = Bench(lines=TWO_EACH, reach=1, extra_free=1000.0)
+    b.learn(ms=ms)
+    _, acts = b.query(ANY, parts=1)  # aim 1000 ms
+    (first,) = of(api.Send, acts)
+    assert not of(api.Send, b.wait(mark - 25.0)) and b.tries[first.part] == 1
+    assert [a.part for a in of(api.Send, b.wait(70.0))] == [first.part]
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -69,6 +69,12 @@
     client.close()
 
 
+async def meet_all(broker):
+    """Asks until each server has answered, several at a time: of idle ones a proven one comes first."""
+    while len(broker.driver.known().nodes) < len(broker.directory.known):
+        await asyncio.gather(*(ask_all(broker, 8) for _ in range(6)))  # eight rounds touch all blocks
+
+
 def test_a_new_broker_learns_which_servers_are_slow(keys):
     async def main():
         async with Stage() as s:
@@ -78,6 +84,7 @@
             first = [await group.add(i) for i in range(3)]
             await until(lambda: all(len(alive(b)) == 2 for b in first))
             await asyncio.gather(*(ask_all(b, 25) for b in first))
+            await asyncio.gather(*(meet_all(b) for b in first))
             new = await group.add(3)
             await until(lambda: new.learning.learned > 0 and not new.driver._events)
             module = new.driver.module
