--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -418,13 +418,6 @@
         """The age at which an attempt is late; a part with a costly hint, so much later."""
         return (self.late or inf) * max(1.0, part.cost / (self.cost or inf))
 
-    def _patience(self, part: _Part, since: float) -> float:
-        """How long an attempt sent then is waited for before a further one: no longer than leaves that one as
-        much of the time to the aim, though twice what a usual answer takes. Guards against a mark that rises
-        with the trouble it is there for. Harm: copies where all are slow, which `credit` bounds."""
-        half = (part.query.aim_at - since) / 2
-        return min(self._late_after(part), max(half, 2 * self.usual) if half > 0 else inf)
-
     def _spent(self, part: _Part) -> bool:  # no further attempt will ever be allowed
         return part.tries >= self.set.max_attempts or (part.once and bool(part.maybe_ran))
 
@@ -588,9 +581,8 @@
                 query.look_at = self.now + AGAIN_MS
                 for part in [p for p in query.parts if not p.done and p not in query.held]:
                     since = max((a.sent for a in part.out.values()), default=-inf)
-                    late_at = since + self._patience(part, since)
-                    if self.now < late_at:
-                        query.look_at = min(query.look_at, late_at)
+                    if self.now < since + self._late_after(part):
+                        query.look_at = min(query.look_at, since + self._late_after(part))
                     else:
                         for n, attempt in list(part.out.items()):
                             self._judge(attempt, lost=True)  # for now
