--- a/badgerbend/duties/holder.py
+++ b/badgerbend/duties/holder.py
@@ -54,6 +54,7 @@
     holder: str = ""  # who holds it, as last told, and where that one is reached
     at: str = ""
     holder_epoch: int = 0
+    heard: bool = False  # anything of it, in this life
 
 
 class Holder:
@@ -135,6 +136,11 @@
             return
         mine.at = line.at or (mine.at if line.epoch == mine.holder_epoch else "")
         mine.holder, mine.holder_epoch = line.holder, line.epoch
+        first, mine.heard = not mine.heard, True
+        if first and line.holder == self.name:
+            # an earlier life's: its word that gives it back may still be on the way, and would take it from this one
+            mine.given = line.epoch
+            self._say_leave(now, ((line.duty, line.epoch),), gone=False)
         if line.holder != self.name or line.epoch <= mine.given:
             if mine.epoch <= line.epoch:
                 mine.epoch, mine.until = 0, -math.inf
