--- a/badgerbend/standin/day.py
+++ b/badgerbend/standin/day.py
@@ -23,7 +23,7 @@
 from badgerbend.net.fetch import fetch
 from badgerbend.standin.audit import Facts, Finding, Line, audit
 from badgerbend.standin.bysite import Second, seconds
-from badgerbend.standin.client import Client
+from badgerbend.standin.processes import until_ready
 from badgerbend.standin.registry import Entry, Registry
 from badgerbend.standin.traffic import Asker, Flow
 from badgerbend.standin.troubles import KINDS, Trouble
@@ -32,7 +32,6 @@
 
 RATES = Path(__file__).parent / "rates" / "broker.conf"
 SERVERS_A_PROCESS = 60
-READY_S = 20.0
 
 
 class Day(msgspec.Struct, frozen=True):
@@ -199,18 +198,7 @@
             self.brokers[index] = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", *program, stderr=log, stdout=log
             )
-        await self._until_ready(self.ports[index])
-
-    async def _until_ready(self, port: int) -> None:
-        async with asyncio.timeout(READY_S):
-            while True:
-                client = Client(port)
-                with contextlib.suppress(ConnectionError):
-                    await client.query("{ _service { sdl } }")
-                    client.close()
-                    return
-                client.close()
-                await asyncio.sleep(0.05)
+        await until_ready(self.ports[index])
 
     async def restart_broker(self, index: int, after_s: float) -> None:
         process = self.brokers[index]
--- a/badgerbend/standin/processes.py
+++ b/badgerbend/standin/processes.py
@@ -16,6 +16,19 @@
 STOP_S = 15.0
 
 
+async def until_ready(port: int) -> None:
+    """Until the broker at this port serves. Raises TimeoutError."""
+    async with asyncio.timeout(READY_S):
+        while True:
+            client = Client(port)
+            with contextlib.suppress(ConnectionError):
+                await client.query("{ _service { sdl } }")
+                client.close()
+                return
+            client.close()
+            await asyncio.sleep(0.05)
+
+
 class BrokerProcess:
     """One broker, by its settings. program: what runs them, as arguments of the interpreter, before the file's name."""
 
@@ -27,7 +40,7 @@
     async def start(self) -> None:
         """Starts it, and waits until it serves. Raises TimeoutError."""
         await self.launch()
-        await self.ready()
+        await until_ready(self.settings.listen.port)
 
     async def launch(self) -> None:
         self.conf.write_text(f"(broker\n{decode.show(self.settings, 1)}\n)\n", encoding="utf-8")
@@ -36,17 +49,6 @@
                 sys.executable, "-m", *self.before, str(self.conf), *self.after, stderr=log, stdout=log
             )
 
-    async def ready(self) -> None:
-        async with asyncio.timeout(READY_S):
-            while True:
-                client = Client(self.settings.listen.port)
-                with contextlib.suppress(ConnectionError):
-                    await client.query("{ _service { sdl } }")
-                    client.close()
-                    return
-                client.close()
-                await asyncio.sleep(0.05)
-
     @property
     def pid(self) -> int:
         assert self.process is not None
