--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -48,7 +48,7 @@
     """`host:port`. Raises ValueError."""
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not host or not colon or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"no address: {text!r}")
+        raise ValueError(f"no address, HOST:PORT is wanted: {text!r}")
     return host, int(port)
 
 
--- a/badgerbend/duties/keeper.py
+++ b/badgerbend/duties/keeper.py
@@ -195,8 +195,8 @@
         standing = self._standing(now, duty)
         if not standing:
             return None
-        ranks = {n: (*c.place(), int(c.load / LOAD_STEP)) for n, c in standing.items() if not c.failing}
-        ranks = ranks or {n: (*c.place(), int(c.load / LOAD_STEP)) for n, c in standing.items()}
+        sound = {n: c for n, c in standing.items() if not c.failing} or standing
+        ranks = {n: (*c.place(), int(c.load / LOAD_STEP)) for n, c in sound.items()}
         least = min(ranks.values())
         return self.rng.choice(sorted(n for n, rank in ranks.items() if rank == least))
 
--- a/badgerbend/ledger/store.py
+++ b/badgerbend/ledger/store.py
@@ -27,6 +27,7 @@
 
 from badgerbend.consensus.log import Kept, Log
 from badgerbend.consensus.messages import Malformed, Record, Snapshot, decode_record, encode
+from badgerbend.disk import write_all, write_whole
 
 MAGIC = b"bbvote\r\n"
 VERSION = 1
@@ -56,8 +57,7 @@
     if any(folder.iterdir()):
         raise BadStore(f"{folder}: not empty; a voter's store is made once, in a folder of its own")
     _segment(folder, 1, [Snapshot(0, 0, tuple(voters), b"")])
-    _write_new(folder / "voter", msgspec.json.encode(Owner(name, tuple(voters))) + b"\n")
-    _sync_folder(folder)
+    write_whole(folder / "voter", msgspec.json.encode(Owner(name, tuple(voters))) + b"\n")
 
 
 class Store:
@@ -97,7 +97,7 @@
         self._whole()
         data = b"".join(_framed(encode(record)) for record in records)
         try:
-            _write_all(self._file, data)
+            write_all(self._file, data)
             os.fdatasync(self._file)
         except OSError as err:
             self.broken = f"{self.folder}/log.{self.number}: {err.strerror}"
@@ -227,31 +227,5 @@
     body = b"".join(_framed(encode(record)) for record in records)
     head = HEAD.pack(MAGIC, VERSION, len(body), 0)[:-4]
     path = folder / f"log.{number}"
-    _write_new(path, head + struct.pack(">I", google_crc32c.value(head)) + body)
-    _sync_folder(folder)
+    write_whole(path, head + struct.pack(">I", google_crc32c.value(head)) + body)
     return path
-
-
-def _write_new(path: Path, data: bytes) -> None:
-    beside = path.with_name(path.name + ".new")
-    handle = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-    try:
-        _write_all(handle, data)
-        os.fsync(handle)
-    finally:
-        os.close(handle)
-    os.replace(beside, path)
-
-
-def _write_all(handle: int, data: bytes) -> None:
-    view = memoryview(data)
-    while view:
-        view = view[os.write(handle, view) :]
-
-
-def _sync_folder(folder: Path) -> None:
-    handle = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(handle)
-    finally:
-        os.close(handle)
--- a/badgerbend/net/seal.py
+++ b/badgerbend/net/seal.py
@@ -13,6 +13,7 @@
 
 import struct
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -107,6 +108,12 @@
         return sign(key, struct.pack(">H", len(sender)) + sender + data)[:MAC_BYTES]
 
 
+def bears(authorization: bytes, keys: Sequence[bytes]) -> bool:
+    """Whether an Authorization header's bearer token is one of the keys."""
+    given = authorization.removeprefix(b"Bearer ").strip()
+    return any(constant_time.bytes_eq(given, key) for key in keys)
+
+
 def verify(key: bytes, data: bytes, mac: bytes) -> bool:
     """Whether a whole MAC-SHA256 is this key's over the data."""
     check = HMAC(key, hashes.SHA256())
--- a/badgerbend/net/udp.py
+++ b/badgerbend/net/udp.py
@@ -10,8 +10,13 @@
 Address = tuple[str, int]
 
 
+def address_text(address: Address) -> str:
+    """As HOST:PORT."""
+    return f"{address[0]}:{address[1]}"
+
+
 def sender_of(address: Address) -> bytes:
-    return f"{address[0]}:{address[1]}".encode()
+    return address_text(address).encode()
 
 
 class SealedSocket(asyncio.DatagramProtocol):
--- a/badgerbend/peering/service.py
+++ b/badgerbend/peering/service.py
@@ -15,6 +15,7 @@
 from badgerbend import api
 from badgerbend.config.settings import Peers, Settings, Snapshot
 from badgerbend.discovery.directory import Directory
+from badgerbend.disk import write_whole
 from badgerbend.knowledge.record import Record, export
 from badgerbend.knowledge.trust import Trust
 from badgerbend.log import get
@@ -26,7 +27,7 @@
 from badgerbend.peering.udp import MembershipSocket
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.ports import Attempt, Observer
-from badgerbend.snapshot.store import BadSnapshot, pack, read, write
+from badgerbend.snapshot.store import BadSnapshot, pack, read
 
 WAIT_S = 1.0  # for peers' answers; who is slower is left out
 SELF = "own snapshot"
@@ -224,7 +225,7 @@
 
     def _write(self, path: Path, data: bytes) -> None:
         try:
-            write(path, data)
+            write_whole(path, data)
         except OSError as err:
             self.log.warning("snapshot not written", file=str(path), why=str(err))
 
--- a/badgerbend/rota/service.py
+++ b/badgerbend/rota/service.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import hmac
 import time
 from collections.abc import Callable
 from functools import partial
@@ -17,6 +16,7 @@
 from badgerbend.consensus import messages as voting
 from badgerbend.consensus.raft import Tuning
 from badgerbend.discovery.directory import Directory
+from badgerbend.discovery.members import parse_address
 from badgerbend.duties.fence import Fence
 from badgerbend.duties.holder import Holder, Terms
 from badgerbend.duties.messages import Doubt, Found, Leave, Told, Want
@@ -25,8 +25,8 @@
 from badgerbend.log import get
 from badgerbend.metrics import Metrics
 from badgerbend.net.client import End, Pool, Reply
-from badgerbend.net.seal import Seal, read_key
-from badgerbend.net.udp import Address, SealedSocket
+from badgerbend.net.seal import Seal, bears, read_key
+from badgerbend.net.udp import Address, SealedSocket, address_text
 from badgerbend.rota import wire
 from badgerbend.rota.voting import Ballot
 from badgerbend.runtime.driver import Driver
@@ -72,7 +72,7 @@
         self.log = get(part="duties")
         self.terms = terms_of(duties)
         self.name = f"broker-{settings.identity.index}"
-        self.voters = {v.name: wire.address(v.address) for v in duties.voter}
+        self.voters = {v.name: parse_address(v.address) for v in duties.voter}
         self.ballot: Ballot | None = None
         self.holder: Holder | None = None
         self.fence = Fence()
@@ -102,10 +102,10 @@
                 raise BadStore(f"{self.folder / duties.store}: the store of {named}, and this is {self.name}")
         port = await self.open(duties.host, duties.port)
         if duties.advertise is not None:
-            self.own = wire.address(duties.advertise)
+            self.own = parse_address(duties.advertise)
         stands = {self.duty: True} if duties.probing else {}
-        at = f"{self.own[0]}:{self.own[1]}"
-        self.holder = Holder(self.name, at, stands, tuple(self.voters), self.terms, self._seed(2), self.clock())
+        at, voters = address_text(self.own), tuple(self.voters)
+        self.holder = Holder(self.name, at, stands, voters, self.terms, self._seed(2), self.clock())
         if duties.probing:
             wait = DOUBT_S * self.holder.rng.random()
             self._doubts = self.loop.call_later(wait, self._say_doubts)
@@ -226,13 +226,13 @@
             self._heard_doubt(doubt, self.own)
         elif mine.holder and mine.holder != self.name and mine.at:
             try:
-                self.send(wire.address(mine.at), wire.act_body(doubt))
+                self.send(parse_address(mine.at), wire.act_body(doubt))
             except ValueError:
                 self.refused += 1
 
     def _heard_doubt(self, doubt: Doubt, source: Address) -> None:
         if doubt.duty == self.duty and self.may_act() is not None:
-            self.prober.doubt(self.clock(), doubt, f"{source[0]}:{source[1]}")
+            self.prober.doubt(self.clock(), doubt, address_text(source))
 
     def _probe(self) -> None:
         self._probing = self.loop.call_later(LOOK_S, self._probe)
@@ -240,9 +240,9 @@
             self.prober.stop()
             self._probed_since = -1.0
             return
-        numbers = {name: number for number, name in self.directory.names.items()}
         for server in self.prober.due(self.clock()):
-            pool = self.pool_of(numbers[server]) if server in numbers else None
+            known = self.directory.known.get(server)
+            pool = self.pool_of(known.number) if known is not None else None
             if pool is None:
                 self._found(server, False, 0.0)  # it is on no list any more
                 continue
@@ -269,17 +269,18 @@
             return
         for at, found in self.prober.found(self.clock(), epoch, server, served, took_ms):
             self.acts += 1
-            if at == f"{self.own[0]}:{self.own[1]}":
+            if at == address_text(self.own):
                 self._heard_found(found)
             else:
-                self.send(wire.address(at), wire.act_body(found))
+                self.send(parse_address(at), wire.act_body(found))
 
     def _heard_found(self, found: Found) -> None:
         """Under an older epoch than was seen it takes no effect, whoever says it."""
         if found.duty != self.duty or not self.fence.admits(found.duty, found.epoch):
             return
         self.findings += len(found.rows)
-        self.driver.learn(learned(found, {name: number for number, name in self.directory.names.items()}))
+        known = self.directory.known
+        self.driver.learn(learned(found, {r.server: known[r.server].number for r in found.rows if r.server in known}))
 
     # -- for people
     def _note(self, what: str, **values: object) -> None:
@@ -333,8 +334,7 @@
 
     def allows(self, authorization: bytes) -> bool:
         """Whether a command comes from one who holds a key."""
-        given = authorization.removeprefix(b"Bearer ").strip()
-        return any(hmac.compare_digest(given, key) for key in self.keys)
+        return bears(authorization, self.keys)
 
     def command(self, path: str) -> tuple[int, str]:
         """`hand-over`, `voters/add/NAME`, `voters/remove/NAME`: an HTTP status, and a word."""
--- a/badgerbend/rota/wire.py
+++ b/badgerbend/rota/wire.py
@@ -4,7 +4,6 @@
 
 from badgerbend.consensus import messages as voting
 from badgerbend.duties import messages as saying
-from badgerbend.net.udp import Address
 
 VOTING, SAYING, ACTING = b"v", b"s", b"a"
 Said = voting.Message | saying.Message | saying.Act
@@ -33,11 +32,3 @@
         case b"a":
             return saying.decode_act(body[1:])
     raise Malformed(f"letter {body[:1]!r}")
-
-
-def address(text: str) -> Address:
-    """Of HOST:PORT, as the settings have checked it. Raises ValueError."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text} is not HOST:PORT")
-    return host, int(port)
--- a/badgerbend/siting.py
+++ b/badgerbend/siting.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import hmac
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -17,6 +16,7 @@
 from badgerbend.log import get
 from badgerbend.metrics import Metrics
 from badgerbend.net.client import Pool
+from badgerbend.net.seal import bears
 from badgerbend.net.server import Exchange
 from badgerbend.sites.setup import rules_of
 from badgerbend.sites.status import status
@@ -99,5 +99,4 @@
             exchange.respond(200, msgspec.json.encode(status(self.tiers, self.now_ms())), JSON)
 
     def _may(self, exchange: Exchange) -> bool:
-        given = exchange.headers.get(b"authorization", b"").removeprefix(b"Bearer ").strip()
-        return self.key is not None and hmac.compare_digest(given, self.key)
+        return self.key is not None and bears(exchange.headers.get(b"authorization", b""), (self.key,))
--- a/badgerbend/snapshot/store.py
+++ b/badgerbend/snapshot/store.py
@@ -1,4 +1,4 @@
-"""One file that survives a crash at any point: written beside, synced, renamed over the old one, its folder synced.
+"""One file that survives a crash at any point (`disk.write_whole`).
 
 Layout: magic (8 bytes), version (2), length of the body (8), xxh3-128 of the body (16), body. The body is a record in
 MessagePack with the wall-clock time of writing; a record that comes back is as old as its absence. A wall clock that
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import struct
 from pathlib import Path
 
@@ -63,25 +62,6 @@
     return older(record, absent_s * 1000.0)
 
 
-def write(path: Path, data: bytes) -> None:
-    """Replaces the file, whole or not at all. Blocks on the disk. Raises OSError, with the old file in place."""
-    beside = path.with_name(path.name + ".new")
-    handle = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-    try:
-        view = memoryview(data)
-        while view:
-            view = view[os.write(handle, view) :]
-        os.fsync(handle)
-    finally:
-        os.close(handle)
-    os.replace(beside, path)
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
-
-
 def read(path: Path, unix_s: float) -> Record:
     """Raises BadSnapshot for anything but a whole snapshot, FileNotFoundError where there is none."""
     with contextlib.suppress(FileNotFoundError):
--- a/badgerbend/standin/rig.py
+++ b/badgerbend/standin/rig.py
@@ -61,7 +61,6 @@
         self.fronts: dict[str, Front] = {}
         self.by_port: dict[int, Front] = {}  # of the real processes
         self.links: dict[tuple[str, str], Link] = {}
-        self.strangers = 0
 
     async def add(self, name: str, real_port: int) -> str:
         """The address to advertise."""
@@ -88,8 +87,7 @@
     def pass_on(self, to: Front, data: bytes, source: Address) -> None:
         sender = self.by_port.get(source[1])
         if sender is None:
-            self.strangers += 1
-            return
+            return  # not of the scene
         link = self.link(sender.name, to.name)
         lost = link.cut or (link.loss > 0 and self.rng.random() < link.loss)
         now = time.monotonic() * 1000.0
--- a/badgerbend/standin/scene.py
+++ b/badgerbend/standin/scene.py
@@ -33,6 +33,7 @@
     only_form,
     read_text,
 )
+from badgerbend.discovery.members import parse_address
 from badgerbend.duties.messages import Doubt, Told
 from badgerbend.ledger.store import create
 from badgerbend.net.seal import Seal
@@ -179,11 +180,11 @@
             after = [] if not scene.drift else [str(rate)]
             self.processes[name] = BrokerProcess(settings, self.folder / f"{name}.conf", program, after)
         await asyncio.gather(*(p.start() for p in self.processes.values()))
-        brokers = {name: wire.address(at) for name, at in self.fronts.items()}
+        brokers = {name: parse_address(at) for name, at in self.fronts.items()}
         self.doubter = _Doubter(brokers, tuple(self.world.servers), "probe")
         port = free_port(socket.SOCK_DGRAM)
         await self.doubter.open("127.0.0.1", port)
-        self.doubter.own = wire.address(await self.rig.add(DOUBTER, port))
+        self.doubter.own = parse_address(await self.rig.add(DOUBTER, port))
         self.task = asyncio.ensure_future(self.doubter.run())
         async with asyncio.timeout(30.0):  # the first act: there is a holder
             await self.doubter.heard.wait()
@@ -221,7 +222,7 @@
         await asyncio.sleep(event.at)
         names = self.who(event.who)
         self.marks.append((time.monotonic() * 1000.0, f"{event.do} {' '.join(names)}"))
-        if event.do in ("restart",):
+        if event.do == "restart":
             for name in names:  # a rolling one
                 await self.processes[name].ended()
                 await self.processes[name].start()
--- a/benchmarks/snapshot.py
+++ b/benchmarks/snapshot.py
@@ -18,10 +18,11 @@
 
 from badgerbend import api
 from badgerbend.config import settings as cfg
+from badgerbend.disk import write_whole
 from badgerbend.knowledge.record import Answer, Record, Server, decode, encode, export
 from badgerbend.knowledge.trust import Trust
 from badgerbend.logic import Aggregator
-from badgerbend.snapshot.store import pack, read, write
+from badgerbend.snapshot.store import pack, read
 from badgerbend.standin.day import RATES
 
 
@@ -34,7 +35,7 @@
     number = first
     while True:
         number += 1
-        write(path, pack(record(servers, number), time.time()))
+        write_whole(path, pack(record(servers, number), time.time()))
         print(number, flush=True)
 
 
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -64,6 +64,16 @@
     })  # fmt: skip
 
 
+async def surroundings():
+    """For a broker that is a process: an agent that lists one node in every cell."""
+    agent, node = Agent(), FrameNode()
+    await agent.start()
+    port = await node.start()
+    for cell in range(CELLS):
+        agent.put(f"s{cell}", port, cell)
+    return agent, node
+
+
 class Stage:
     """Two nodes a cell, an agent, a service, a client; an async context. known: the list stands in the file too."""
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -12,10 +12,9 @@
 import pytest
 
 from badgerbend.net.client import Pool
-from badgerbend.standin.agent import Agent
 from badgerbend.standin.client import LIMITS
-from badgerbend.standin.framenode import FrameNode
-from tests.platform_stage import CELLS, file_of, query, run
+from badgerbend.standin.rig import free_port
+from tests.platform_stage import file_of, query, run, surroundings
 from tests.sockets import until
 
 ROOT = Path(__file__).parent.parent
@@ -45,16 +44,10 @@
     """As an ordinary user where the test may become one. Anything refused, and the process is gone by SIGSYS."""
 
     async def main():
-        agent, node = Agent(), FrameNode()
-        agent_port = await agent.start()
-        for cell in range(CELLS):
-            agent.put(f"s{cell}", node.port or await node.start(), cell)
-        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        port = free.sockets[0].getsockname()[1]
-        free.close()
-        await free.wait_closed()
+        agent, node = await surroundings()
+        port = free_port()
         config = tmp_path / "config.json"
-        config.write_bytes(file_of(agent_port, listen=port))
+        config.write_bytes(file_of(agent.http.address[1], listen=port))
         for folder in (config, *tmp_path.parents[:2], tmp_path):
             os.chmod(folder, 0o755)
         env = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(config)}
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -10,6 +10,7 @@
 from badgerbend import api
 from badgerbend.config.settings import Duties, VoterAt, parse
 from badgerbend.config.sexpr import SettingsError
+from badgerbend.discovery.members import parse_address
 from badgerbend.duties.fence import Fence
 from badgerbend.duties.holder import Terms
 from badgerbend.duties.keeper import STEADY, TAKEN_UP, Keeper
@@ -220,7 +221,7 @@
     assert wire.read(wire.act_body(Doubt("a", "probe", ("s",)))) == Doubt("a", "probe", ("s",))
     for text in ("here", "here:", ":1", "here:0", "here:x"):
         with pytest.raises(ValueError, match="HOST:PORT"):
-            wire.address(text)
+            parse_address(text)
 
 
 # -- settings and commands
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from badgerbend import api
+from badgerbend.disk import write_whole
 from badgerbend.knowledge.record import (
     MOST_BYTES,
     Answer,
@@ -24,8 +25,7 @@
     older,
 )
 from badgerbend.knowledge.trust import Rules, Trust
-from badgerbend.snapshot import store
-from badgerbend.snapshot.store import BadSnapshot, pack, read, unpack, write
+from badgerbend.snapshot.store import BadSnapshot, pack, read, unpack
 
 NAMES = {f"s{i}": i for i in range(10)}
 
@@ -213,7 +213,7 @@
 
 def test_a_snapshot_comes_back_as_old_as_its_absence(tmp_path):
     path = tmp_path / "seen"
-    write(path, pack(GOOD, 1000.0))
+    write_whole(path, pack(GOOD, 1000.0))
     assert read(path, 1007.5).servers[0].age_ms == 500.0 + 7500.0
     with pytest.raises(BadSnapshot, match="gone back"):
         read(path, 999.0)
@@ -257,7 +257,7 @@
 def test_a_crash_at_any_call_leaves_the_old_snapshot_or_the_new(tmp_path, seed, monkeypatch):
     """Every call to the system may be the last; a write may have put only some of its bytes on the disk."""
     rng, path = random.Random(seed), tmp_path / "seen"
-    write(path, pack(GOOD, 1000.0))
+    write_whole(path, pack(GOOD, 1000.0))
     new = msgspec.structs.replace(GOOD, open_parts=9)
     left = rng.randrange(9)
 
@@ -277,10 +277,10 @@
 
     with monkeypatch.context() as patch:
         for name in ("open", "fsync", "replace"):
-            patch.setattr(store.os, name, dying(getattr(os, name)))
-        patch.setattr(store.os, "write", dying(os.write, partly=True))
+            patch.setattr(os, name, dying(getattr(os, name)))
+        patch.setattr(os, "write", dying(os.write, partly=True))
         try:
-            write(path, pack(new, 1001.0))
+            write_whole(path, pack(new, 1001.0))
             done = True
         except Crash:
             done = False
@@ -291,10 +291,10 @@
 
 def test_a_folder_that_cannot_be_written_keeps_the_old_file(tmp_path):
     path = tmp_path / "seen"
-    write(path, pack(GOOD, 1000.0))
+    write_whole(path, pack(GOOD, 1000.0))
     path.with_name("seen.new").mkdir()
     with pytest.raises(OSError):
-        write(path, pack(GOOD, 1001.0))
+        write_whole(path, pack(GOOD, 1001.0))
     assert path.read_bytes() == pack(GOOD, 1000.0)
     assert isinstance(path, Path)
 
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -7,16 +7,17 @@
 import msgspec
 import pytest
 
-from badgerbend import api
+from badgerbend import api, logic
 from badgerbend.broker import Broker
 from badgerbend.config.settings import Peers, Snapshot, parse
 from badgerbend.config.sexpr import SettingsError
+from badgerbend.disk import write_whole
 from badgerbend.knowledge.record import Answer, Record, Server, encode
 from badgerbend.membership.messages import State
 from badgerbend.net.client import Pool, PoolLimits
 from badgerbend.net.seal import BadKey, read_key
 from badgerbend.peering.exchange import Teller, ask
-from badgerbend.snapshot.store import pack, write
+from badgerbend.snapshot.store import pack
 from badgerbend.standin.client import Client
 from tests.sockets import EXAMPLE, Stage, run, until
 
@@ -69,13 +70,9 @@
     client.close()
 
 
-async def meet_all(broker):
-    """Asks until each server has answered, several at a time: of idle ones a proven one comes first."""
-    while len(broker.driver.known().nodes) < len(broker.directory.known):
-        await asyncio.gather(*(ask_all(broker, 8) for _ in range(6)))  # eight rounds touch all blocks
+def test_a_new_broker_learns_which_servers_are_slow(keys, monkeypatch):
+    monkeypatch.setattr(logic, "MEET", 1.0)  # in 25 rounds each broker meets all servers, without queues of its own
 
-
-def test_a_new_broker_learns_which_servers_are_slow(keys):
     async def main():
         async with Stage() as s:
             for name in ("rates-2", "rates-7"):
@@ -84,7 +81,6 @@
             first = [await group.add(i) for i in range(3)]
             await until(lambda: all(len(alive(b)) == 2 for b in first))
             await asyncio.gather(*(ask_all(b, 25) for b in first))
-            await asyncio.gather(*(meet_all(b) for b in first))
             new = await group.add(3)
             await until(lambda: new.learning.learned > 0 and not new.driver._events)
             module = new.driver.module
@@ -173,7 +169,7 @@
 def test_a_broker_takes_its_own_snapshot_and_writes_the_next(tmp_path):
     file = tmp_path / "seen"
     servers = tuple(Server(f"rates-{i}", 150.0 if i == 4 else 20.0, 100.0) for i in range(12))
-    write(file, pack(Record(1, 0, 0, 0, servers, (Answer(100.0, 20.0, False),) * 40), time.time()))
+    write_whole(file, pack(Record(1, 0, 0, 0, servers, (Answer(100.0, 20.0, False),) * 40), time.time()))
 
     async def main():
         async with Stage(snapshot=Snapshot(str(file), 100.0)) as s:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,8 @@
 from badgerbend.platform import config
 from badgerbend.standin.agent import Agent
 from badgerbend.standin.framenode import FrameNode
-from tests.platform_stage import CELLS, SHARDS, Stage, file_of, query, run
+from badgerbend.standin.rig import free_port
+from tests.platform_stage import CELLS, SHARDS, Stage, file_of, query, run, surroundings
 from tests.sockets import until
 
 ROOT = Path(__file__).parent.parent
@@ -597,16 +598,9 @@
 
 def test_a_process_that_is_told_to_end_ends_well(tmp_path):
     async def main():
-        agent = Agent()
-        agent_port = await agent.start()
-        node = FrameNode()
-        for cell in range(CELLS):
-            agent.put(f"s{cell}", node.port or await node.start(), cell)
-        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        port = free.sockets[0].getsockname()[1]
-        free.close()
-        await free.wait_closed()
-        process = _process(tmp_path, file_of(agent_port, listen=port))
+        agent, node = await surroundings()
+        port = free_port()
+        process = _process(tmp_path, file_of(agent.http.address[1], listen=port))
         try:
             line = await asyncio.to_thread(process.stderr.readline)
             assert msgspec.json.decode(line)["what"] == "listening"
