Cold allowance, pure: brokers' shares dealt by demand in slices that end, and a sum that holds

Need: what a cold server bears is shared out by each broker's own pace.

Change: duties/allowance.py, a broker's side (Slices) and the holder's (Dealer); Ask and Dealt among the acts. It makes nothing: what one states that it does not want, another may send for a stated time. tests/simallowance.py plays it with words lost, late, doubled, out of order, clocks off, dealers that stand still, and takes the sum at every event.

Found by it while written: a dealer that counted on what a broker gave up before it had heard of it; a word that came twice, answered by two slices of which the broker held the greater; a later slice's end taken for the end of the promise of an earlier one.

--- a/badgerbend/duties/messages.py
+++ b/badgerbend/duties/messages.py
@@ -14,6 +14,8 @@
 Load = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_KEY)]
 Took = Annotated[float, msgspec.Meta(ge=0, le=1e9)]  # milliseconds
+Pace = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Time = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
 
 # -- commands of the log
 
@@ -132,7 +134,46 @@
     rows: Annotated[tuple[Row, ...], msgspec.Meta(max_length=MOST_SERVERS)]
 
 
-Act = Doubt | Found
+class Need(msgspec.Struct, array_like=True, frozen=True):
+    """What a broker would send to a cold server or a returning site, and what its own share is, in parts a ms. started:
+    as the list states it, so that a word on an earlier start of the same server speaks of nothing now. heard: the ask
+    whose answer the broker keeps to, 0 for none."""
+
+    thing: Text
+    started: Time
+    own: Pace
+    wanted: Pace
+    heard: Number
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """A broker's word to the dealer of cold allowance. seq: of its own, sent back with the slices."""
+
+    source: Text
+    duty: Text
+    seq: Number
+    needs: Annotated[tuple[Need, ...], msgspec.Meta(max_length=MOST_SERVERS)]
+
+
+class Slice(msgspec.Struct, array_like=True, frozen=True):
+    """What a broker may send to a thing, in the place of its own share, in parts a ms."""
+
+    thing: Text
+    started: Time
+    pace: Pace
+
+
+class Dealt(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """An act of dealing, the answer to an `Ask`: its slices last from when that was sent."""
+
+    source: Text
+    duty: Text
+    epoch: Number
+    seq: Number
+    slices: Annotated[tuple[Slice, ...], msgspec.Meta(max_length=MOST_SERVERS)]
+
+
+Act = Doubt | Found | Ask | Dealt
 
 _encoder = msgspec.msgpack.Encoder()
 _command_decoder = msgspec.msgpack.Decoder(Command)
--- /dev/null
+++ b/tests/test_allowance.py
@@ -0,0 +1,220 @@
+"""Cold allowance: what is dealt never sums to more than the shares, whatever is lost; who asks nobody keeps its own."""
+
+import pytest
+
+from badgerbend.duties.allowance import Dealer, Lengths, Slices, _Row, fair
+from badgerbend.duties.messages import MOST_SERVERS, Ask, Dealt, Malformed, Need, Slice, decode_act, encode
+from tests.simallowance import DUTY, LENGTHS, NODE, SERVER, START, Over, World
+
+
+class BelievesAtOnce(Dealer):
+    """Counts on what a broker gives up before it has heard of it."""
+
+    def holds(self, now_ms, row):
+        if row.out and row.heard not in row.out:
+            return list(row.out.values())[-1][0]
+        return super().holds(now_ms, row)
+
+
+class CountsTheLast(Dealer):
+    """Forgets that an earlier slice may still be in force."""
+
+    def holds(self, now_ms, row):
+        kept = row.out
+        row.out = {seq: dealt for seq, dealt in kept.items() if seq in (row.heard, max(kept))}
+        if row.out and max(row.out) != row.heard and row.heard in row.out:
+            row.out[row.heard] = 0.0, row.out[row.heard][1]
+        try:
+            return super().holds(now_ms, row)
+        finally:
+            row.out = kept
+
+
+class AnswersTwice(Dealer):
+    """Deals anew for a word that came a second time, or was overtaken."""
+
+    def ask(self, now_ms, epoch, ask):
+        for need in ask.needs:
+            if row := self.books.get((need.thing, need.started), {}).get(ask.source):
+                row.last = 0
+        return super().ask(now_ms, epoch, ask)
+
+
+class DealsAtOnce(Dealer):
+    def begin(self, now_ms):
+        super().begin(now_ms)
+        self.since = -1e9
+
+
+class CountsFromTheAnswer(Slices):
+    """Counts a slice from when it came, not from when it was asked for."""
+
+    def told(self, now_ms, dealt):
+        if dealt.seq in self.asked:
+            self.asked[dealt.seq] = now_ms
+        super().told(now_ms, dealt)
+
+
+class KeepsNothing(Slices):
+    """Goes back to its own share once its slice is over."""
+
+    def _now(self, thing, now_ms, own):
+        thing.own = own
+        return thing.pace if now_ms < thing.until else own
+
+
+class NeverEnds(Slices):
+    def _now(self, thing, now_ms, own):
+        thing.own = own
+        return thing.pace if thing.until > 0 else own
+
+
+def test_the_sum_stays_within_the_shares_whatever_is_lost_late_or_replaced():
+    most = dealt = 0
+    for seed in range(150):
+        world = World(seed, loss=(0.0, 0.2, 0.6)[seed % 3])
+        world.run(20_000)
+        assert world.checks > 500
+        most, dealt = max(most, world.most), dealt + world.dealt
+    assert dealt > 10_000 and most > 0.99  # the shares are used up, and not by standing still
+
+
+@pytest.mark.parametrize(
+    "kinds",
+    [{"dealer": BelievesAtOnce}, {"dealer": CountsTheLast}, {"dealer": AnswersTwice}, {"dealer": DealsAtOnce},
+     {"slices": CountsFromTheAnswer},
+     {"slices": KeepsNothing}, {"slices": NeverEnds}, {"rate": 0.4}],
+    ids=lambda kinds: "clocks beyond the bound" if "rate" in kinds else next(iter(kinds.values())).__name__,
+)  # fmt: skip
+def test_each_defect_lets_brokers_send_too_much_together(kinds):
+    for seed in range(300):
+        try:
+            World(seed, loss=0.2, **kinds).run(20_000)
+        except Over:
+            return
+    pytest.fail("no seed shows it")
+
+
+def deal(dealer, slices, now, wants, owns, rounds=4):
+    """Brokers ask in turn, every answer arrives."""
+    for r in range(rounds):
+        at = now + r * 200.0
+        for s, want, own in zip(slices, wants, owns, strict=True):
+            s.listed(at, {NODE: (SERVER, START)})
+            s.usual(at, NODE, own, 1.0, 1, 1)
+            s.nodes[NODE].wanted, s.nodes[NODE].since = want * 100.0, at - 100.0
+            for ask in s.ask(at):
+                dealt = dealer.ask(at, 5, ask)
+                if dealt is not None:
+                    s.told(at, dealt)
+    at = now + rounds * 200.0 - 100.0
+    return [s.usual(at, NODE, own, 1.0, 1, 1) for s, own in zip(slices, owns, strict=True)]
+
+
+def fleet(n):
+    dealer = Dealer("d", DUTY, LENGTHS)
+    dealer.begin(0.0)
+    return dealer, [Slices(f"b{i}", DUTY, LENGTHS, i) for i in range(n)]
+
+
+def test_what_quiet_brokers_leave_goes_to_those_that_want_more():
+    dealer, slices = fleet(4)
+    got = deal(dealer, slices, 2000.0, wants=[0.0, 0.0, 10.0, 1.5], owns=[1.0] * 4)
+    assert got == pytest.approx([0.0, 0.0, 2.5, 1.5])
+    # all want less: each gets its own back in the end
+    got = deal(dealer, slices, 2900.0, wants=[0.1] * 4, owns=[1.0] * 4, rounds=12)
+    assert got == pytest.approx([1.0] * 4)
+
+
+def test_without_a_dealer_or_soon_after_one_came_each_keeps_to_its_own():
+    dealer, slices = fleet(3)
+    assert deal(dealer, slices, 10.0, wants=[0.0, 5.0, 5.0], owns=[1.0, 2.0, 3.0], rounds=1) == [1.0, 2.0, 3.0]
+    assert dealer.slices == 0
+    got = deal(dealer, slices, 2000.0, wants=[0.0, 5.0, 5.0], owns=[1.0, 2.0, 3.0])
+    assert got == pytest.approx([0.0, 2.5, 3.5])
+    # it is silent: what was given ends, what was given up is kept to for a while, then all is as before
+    for at, may in ((2600.0 + LENGTHS.held_ms, [0.0, 2.0, 3.0]), (2600.0 + LENGTHS.kept_ms, [1.0, 2.0, 3.0])):
+        assert [s.usual(at, NODE, n, 1.0, 1, 1) for s, n in zip(slices, (1.0, 2.0, 3.0), strict=True)] == may
+
+
+def test_a_server_that_starts_again_is_another_and_a_warm_one_is_nobody_s():
+    dealer, slices = fleet(2)
+    assert deal(dealer, slices, 2000.0, wants=[0.0, 9.0], owns=[1.0, 1.0])[1] == pytest.approx(2.0)
+    slices[1].listed(2700.0, {NODE: (SERVER, START + 1.0)})
+    assert slices[1].usual(2700.0, NODE, 1.0, 1.0, 1, 1) == 1.0
+    late = Dealt("d", DUTY, 5, next(iter(slices[1].asked)), (Slice(SERVER, START, 9.0),))
+    slices[1].told(2700.0, late)  # a word on the start before
+    assert slices[1].usual(2700.0, NODE, 1.0, 1.0, 1, 1) == 1.0
+    slices[0].listed(9000.0, {})
+    assert slices[0].usual(9000.0, NODE, 1.0, 1.0, 1, 1) == 1.0 and not slices[0].ask(9000.0)
+
+
+def test_a_want_counts_each_part_once_among_the_servers_it_may_go_to():
+    s = Slices("b", DUTY, LENGTHS, 1)
+    s.listed(0.0, {1: ("one", 1.0), 2: ("two", 1.0)})
+    for part in (10, 11):
+        for _ in range(5):  # looked at again and again while it waits
+            s.usual(100.0, 1, 0.5, 0.25, part, 2)
+            s.usual(100.0, 2, 0.5, 0.25, part, 2)
+    (ask,) = s.ask(1000.0)
+    assert {n.thing: n.wanted for n in ask.needs} == pytest.approx({"one": 0.004, "two": 0.004})
+    assert all(n.own == 0.5 and n.heard == 0 for n in ask.needs)
+
+
+def test_many_cold_servers_take_several_words_the_most_uneven_first():
+    s = Slices("b", DUTY, LENGTHS, 1)
+    s.listed(0.0, {i: (f"s{i:03}", 1.0) for i in range(400)})
+    s.usual(10.0, 300, 1.0, 1.0, 1, 1)
+    asks = s.ask(100.0)
+    assert len(asks) == 8 and all(len(a.needs) == MOST_SERVERS for a in asks)
+    assert asks[0].needs[0].thing == "s300" and len({a.seq for a in asks}) == 8
+
+
+def test_a_returning_site_is_dealt_as_a_server_is():
+    dealer, slices = fleet(2)
+    for r in range(4):
+        at = 2000.0 + r * 200.0
+        for s, want in zip(slices, (0.1, 4.0), strict=True):
+            s.site(at, "east", 1.0, want)
+            for ask in s.ask(at):
+                s.told(at, dealer.ask(at, 5, ask))
+    assert [s.site(2700.0, "east", 1.0, 1.0) for s in slices] == pytest.approx([0.1, 1.9])
+    assert not slices[0].ask(2800.0) or slices[0].sites  # stated once more, then it is in
+    assert not slices[0].ask(9000.0) and not slices[0].sites
+
+
+def test_max_min_and_nothing_made():
+    book = {"a": _Row(2.0, 0.5), "b": _Row(1.0, 1.2), "c": _Row(1.0, 9.0), "d": _Row(0.0, 9.0)}
+    parts = {b: fair(book, b) for b in book}
+    assert sum(parts.values()) == pytest.approx(4.0)
+    assert parts["a"] == pytest.approx(0.5) and parts["b"] == pytest.approx(1.2)
+    assert parts["c"] - 1.0 == pytest.approx(parts["d"])
+
+
+def test_words_of_the_deal_are_read_back_or_refused():
+    ask = Ask("b", DUTY, 3, (Need(SERVER, START, 1.0, 2.0, 0),))
+    assert decode_act(encode(ask)) == ask
+    dealt = Dealt("d", DUTY, 9, 3, (Slice(SERVER, START, 2.0),))
+    assert decode_act(encode(dealt)) == dealt
+    for server, own in ((SERVER, -1.0), (SERVER, float("nan")), ("", 1.0)):
+        bad = Need(server, START, own, 1.0, 0)
+        with pytest.raises(Malformed):
+            decode_act(encode(Ask("b", DUTY, 3, (bad,))))
+
+
+def test_books_are_forgotten_with_those_who_ask_no_more():
+    dealer, slices = fleet(3)
+    deal(dealer, slices, 2000.0, wants=[0.0, 9.0, 9.0], owns=[1.0] * 3)
+    late = Slices("x", DUTY, LENGTHS, 9)
+    for at in (2600.0 + 2 * LENGTHS.counted_ms, 2600.0 + 6 * LENGTHS.counted_ms):
+        late.listed(at, {1: ("other", 1.0)})
+        late.usual(at, 1, 1.0, 1.0, 1, 1)
+        for ask in late.ask(at):
+            dealer.ask(at, 5, ask)
+    assert set(dealer.books) == {("other", 1.0)}
+
+
+def test_lengths_leave_time_for_both_clocks():
+    lengths = Lengths(1000.0, 0.1)
+    assert lengths.held_ms / (1 - 0.1) <= lengths.booked_ms / (1 + 0.1) + 1e-9  # ended there before here, by true time
+    assert lengths.counted_ms / (1 - 0.1) <= lengths.kept_ms / (1 + 0.1) + 1e-9
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -19,7 +19,7 @@
     "consensus": set(),
     "duties": {"api", "consensus"},
     "ledger": {"consensus", "disk"},
-    "rota": {"config", "consensus", "discovery", "duties", "ledger", "log", "metrics", "net", "runtime"},
+    "rota": {"api", "config", "consensus", "discovery", "duties", "ledger", "log", "metrics", "net", "runtime"},
     "knowledge": {"api"},
     "snapshot": {"knowledge"},
     "disk": set(),
@@ -36,9 +36,9 @@
     "platform": {"api", "discovery", "facts", "frames", "logic", "net", "runtime"},
 }  # fmt: skip
 PURE = (
-    "consensus/log.py", "consensus/messages.py", "consensus/raft.py", "duties/fence.py", "duties/holder.py",
-    "duties/keeper.py", "duties/messages.py", "duties/probing.py", "duties/table.py", "duties/voter.py",
-    "rota/wire.py", "standin/acts.py",
+    "consensus/log.py", "consensus/messages.py", "consensus/raft.py", "duties/allowance.py", "duties/fence.py",
+    "duties/holder.py", "duties/keeper.py", "duties/messages.py", "duties/probing.py", "duties/table.py",
+    "duties/voter.py", "rota/wire.py", "standin/acts.py",
     "config/sexpr.py", "config/decode.py", "discovery/directory.py", "discovery/lines.py", "frames/codec.py",
     "platform/names.py", "knowledge/record.py", "knowledge/trust.py",
     "membership/messages.py", "membership/swim.py", "runtime/ports.py", "graphql/checks.py", "graphql/selection.py",
