A question that a silent agent was asked is put again in moments; drains are kept again

Logs of all 204 brokers: "7.376 list not read: no answer in time", then the same at 14.412, nothing between; discovery was silent from about 5 s to 10.4 s. Ruled out: restarted brokers (first break before the kills at 12.26 s).

At fault: watch._ask gave every call longest_s + GRACE_S, 7 s, also one for the whole list, which waits for nothing; what an agent was asked while discovery was down it never answers. So what it knew at 10.4 s was heard at 14.4 s. Now `longest_s` is each list's own and knows what is asked: members that are pushed get 0.2 s beyond the wait, and are asked again after at most 0.1 s, so that an agent that is back is heard within half of a drain's grace (500 ms in the settings).

--- a/badgerbend/discovery/consul.py
+++ b/badgerbend/discovery/consul.py
@@ -9,6 +9,8 @@
 from badgerbend.discovery.watch import Pace
 from badgerbend.net.client import Reply
 
+GRACE_S = 2.0  # beyond the longest wait asked for, before a silent call is given up
+
 
 class ConsulTarget:
     """`Target` of a watch, as settings name it."""
@@ -17,10 +19,12 @@
         self.settings = settings
         self.host, self.port, self.max_bytes = settings.host, settings.port, settings.max_bytes
         self.asks = settings.mode == "ask"
-        # Consul adds up to a sixteenth to the wait, so that calls do not end all at once
-        self.longest_s = settings.wait_ms / 1000.0 * (1 + 1 / 16)
         self.pace = Pace()
 
+    def longest_s(self, version: int | None) -> float:
+        # Consul adds up to a sixteenth to the wait, so that calls do not end all at once
+        return self.settings.wait_ms / 1000.0 * (1 + 1 / 16) + GRACE_S
+
     def path(self, version: int | None) -> str:
         wait = self.settings.wait_ms / 1000.0
         return f"/v1/health/service/{quote(self.settings.service, safe='')}?index={version or 0}&wait={wait:g}s"
--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -20,7 +20,10 @@
 WAIT_MS = 5_000  # a call waits so long for news: a connection that fell silent is found out soon after
 MAX_BYTES = 4_194_304
 # changed: well within the time in which the next call goes on with the watch
-PACE = Pace(first_wait=0.05, most_wait=0.5, changed=0.02)
+# most_wait: an agent that comes back is heard within this and AT_ONCE_S, well within the grace of a drain (500 ms)
+PACE = Pace(first_wait=0.05, most_wait=0.1, changed=0.02)
+AT_ONCE_S = 0.2  # an agent on the own machine answers in moments, when it was asked or when the wait is over
+GRACE_S = 2.0  # a list that is asked for and not pushed may be far away
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,13 +78,18 @@
     """`Target` of a watch on the agent at `address`. Versions it gives are handed back as they came."""
 
     max_bytes = MAX_BYTES
-    longest_s = WAIT_MS / 1000.0
     pace = PACE
 
     def __init__(self, names: Names, address: tuple[str, int], asks: bool = False) -> None:
         self.names, self.asks = names, asks
         self.host, self.port = address
 
+    def longest_s(self, version: int | None) -> float:
+        """What an agent was asked while it was silent it never answers: the question is put again soon."""
+        if self.asks:
+            return WAIT_MS / 1000.0 + GRACE_S
+        return AT_ONCE_S + (0.0 if version is None else WAIT_MS / 1000.0)
+
     def path(self, version: int | None) -> str:
         names = self.names
         if version is None:
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -16,8 +16,6 @@
 from badgerbend.discovery.directory import Directory, ListError, Reading
 from badgerbend.net.client import Call, End, Pool, PoolLimits, Reply
 
-GRACE_S = 2.0  # beyond the longest wait asked for, before a silent call is given up
-
 
 class Timer(Protocol):
     def cancel(self) -> None: ...
@@ -47,9 +45,11 @@
     port: int
     asks: bool  # only when the module says so
     max_bytes: int
-    longest_s: float  # an answer that waits comes within this
     pace: Pace
 
+    def longest_s(self, version: int | None) -> float:
+        """A call for what is newer than `version`, or for the whole list, is given up if not answered within this."""
+
     def path(self, version: int | None) -> str:
         """The path and query for what is newer than `version`; None: for the whole list."""
 
@@ -144,7 +144,7 @@
             f"user-agent: {self.agent}\r\n\r\n"
         )
         self._call = self.pool.request(head.encode(), self._replied)
-        self._limit = self.clock.call_later(target.longest_s + GRACE_S, self._silent)
+        self._limit = self.clock.call_later(target.longest_s(self.index), self._silent)
 
     def _silent(self) -> None:
         self._limit = None
