Cold allowance on sockets: what cold servers may be sent is dealt by demand, by one broker at a time

Change: a seam in api (Allowance), asked by the module for a cold server (logic._admits) and by sites for one that comes back; rota/dealing.py asks and deals; settings dealing and slice-ms; acts of dealing in the auditor, which also holds what was dealt against the shares that were stated; figures in /duties and metrics; operators' page. Without a holder, or without duties, all is as before; run on the platform imports none of it.

Also: one run of the scene of a stopped holder failed: an act under way when SIGSTOP came arrived after SIGCONT (the epoch bars it; six runs more did not show it). The lease is now looked at again after the seal is made, right before the datagram goes.

Processes: four brokers, cold servers, the dealer stopped for its lease and woken.

--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -315,3 +315,18 @@
         no limit holds there."""
 
     def sent(self, part: int, attempt: int, node: int) -> None: ...
+
+
+class Allowance(Protocol):
+    """What a broker may send to what is cold, where brokers share that out by demand. Without one each keeps to its
+    own share. It is called within a step, and is as pure as the module."""
+
+    def usual(self, now_ms: float, node: int, own: float, times: float, part: int, among: int) -> float:
+        """The pace, in parts a millisecond and as if the server were warm, from which what it may be sent follows.
+
+        own: this broker's own; times: so much of it may go there now, as cold as it is; part: one that would go there
+        or to another of so many servers, among.
+        """
+
+    def site(self, now_ms: float, name: str, own: float, wanted: float) -> float:
+        """What may go to a site on its way back, in parts a millisecond. wanted: what this broker would send."""
--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -24,6 +24,7 @@
 from badgerbend.net.client import Pool, PoolLimits
 from badgerbend.net.server import Exchange, HttpServer, ServerLimits
 from badgerbend.peering.service import Learning, OwnAnswers
+from badgerbend.rota.dealing import slices_of
 from badgerbend.rota.service import Rota
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.loop import LoopSchedule
@@ -88,7 +89,10 @@
                 settings, settings.sites, folder, self._pool, self.schedule.now_ms, self.metrics, self.tiers
             )
         preference = self.preference()
-        decisions = self.decisions(module, settings.seed * 1_000_003 + settings.identity.index, preference)
+        slices = slices_of(settings)
+        if self.siting is not None:
+            self.siting.tiers.allowance = slices
+        decisions = self.decisions(module, settings.seed * 1_000_003 + settings.identity.index, preference, slices)
         answers = OwnAnswers(self.metrics)
         self.driver = Driver(module, decisions, self.transport, self.watch, self.schedule, answers)
         self.learning: Learning | None = None
@@ -97,7 +101,9 @@
             answers.learning = self.learning
         self.rota: Rota | None = None
         if settings.duties is not None:
-            self.rota = Rota(settings, settings.duties, folder, self.driver, self.directory, self._pool, clock)
+            self.rota = Rota(
+                settings, settings.duties, folder, self.driver, self.directory, self._pool, slices, clock
+            )  # fmt: skip
         self.schedule.turn = self.driver.turn
         self.front = GraphQLFront(settings, graph, self.driver, self.schedule.now_ms)
         self.server = HttpServer(
--- a/badgerbend/config/settings.py
+++ b/badgerbend/config/settings.py
@@ -298,6 +298,7 @@
     voters choose another; beat_ms: a leader is heard so often.
 
     probing: whether doubted servers are asked by the duty's holder, each every `probe_every_ms`, `probes` at once.
+    dealing: whether what brokers may send to cold servers is dealt by demand; a slice of it lasts `slice_ms`.
     """
 
     key: tuple[Name, ...]
@@ -315,6 +316,8 @@
     probing: bool = True
     probe_every_ms: Positive = 500.0
     probes: Count = 8
+    dealing: bool = True
+    slice_ms: Positive = 1000.0
 
     def __post_init__(self) -> None:
         if not 1 <= len(self.key) <= 2:
@@ -329,6 +332,8 @@
             _host_port(self.advertise, "advertise")
         if self.lease_ms < 2 * self.stall_ms:
             raise ValueError("lease-ms must be at least twice stall-ms")
+        if self.slice_ms > self.lease_ms:
+            raise ValueError("slice-ms must not be longer than lease-ms: a new dealer waits for the last one's slices")
         if self.election_ms < 3 * self.beat_ms:
             raise ValueError("election-ms must be at least three times beat-ms, or one lost beat elects another")
 
--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -92,8 +92,11 @@
 
 
 class Aggregator:
-    def __init__(self, settings: api.Settings, seed: int, sites: api.Sites | None = None) -> None:
-        self.set, self.rng, self.sites = settings, random.Random(seed), sites
+    def __init__(
+        self, settings: api.Settings, seed: int, sites: api.Sites | None = None,
+        allowance: api.Allowance | None = None,
+    ) -> None:  # fmt: skip
+        self.set, self.rng, self.sites, self.allowance = settings, random.Random(seed), sites, allowance
         self.now, self.began, self.acts = 0.0, inf, list[api.Action]()
         self.nodes, self.parts = dict[int, _Node](), dict[int, _Part]()
         self.holders: dict[int, list[_Node]] = {}  # ready servers by shard, found when first asked for
@@ -284,22 +287,27 @@
         age = 0.0 if node.died_at < inf else max(self.now - node.cold_since, 0.0)  # dead: it may start unseen
         return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * age / max(self.set.cold_ms, 1.0))
 
-    def _admits(self, node: _Node) -> bool:
+    def _admits(self, node: _Node, part: _Part) -> bool:
         """Slow start: a cold server gets tokens at our own pace to a warm one, times its least warmth and
-        most of the multiple that fells it: all brokers' sum is bound. Harm: a cold set's shards wait."""
+        most of the multiple that fells it: all brokers' sum is bound. Harm: a cold set's shards wait. Where
+        brokers deal that pace among them it is the dealt one, but not for one that died in our sight."""
         warmth = self._warmth(node)
         if warmth >= 1.0:
             return True
         usual = self._rate("sends") / max(1, self.sound)
         if self.sites:  # after an outage in which little was sent, what is let back is the measure
             usual = max(usual, self.sites.pace(node.id))
-        pace = warmth * usual * self.set.overload_factor * COLD_PACE
+        times = warmth * self.set.overload_factor * COLD_PACE
+        if self.allowance and node.died_at == inf:
+            among = len(self._holders(part.shard))
+            usual = self.allowance.usual(self.now, node.id, usual, times, part.id, among)
+        pace = times * usual
         node.tokens, node.tokens_at = min(1.0, node.tokens + pace * (self.now - node.tokens_at)), self.now
         return node.tokens >= 1.0
 
     def _pick(self, part: _Part) -> _Node | None:
         busy = [a.node for a in part.out.values()]
-        pool = [n for n in self._holders(part.shard) if n not in busy and self._admits(n)]
+        pool = [n for n in self._holders(part.shard) if n not in busy and self._admits(n, part)]
         fresh = [n for n in pool if n not in part.used] or pool
         pool = self._nearest(part, fresh) or self._nearest(part, pool)
         calls = [self._calls(n) for n in pool]
--- a/badgerbend/net/udp.py
+++ b/badgerbend/net/udp.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, cast
 
 from badgerbend.net.seal import Refused, Seal
@@ -37,10 +38,13 @@
         self.own = (host, bound)
         return bound
 
-    def send(self, address: Address, body: bytes) -> None:
+    def send(self, address: Address, body: bytes, still: Callable[[], bool] | None = None) -> None:
+        """still: asked once all else is done, so that a process that stood still in between says nothing."""
         if self.transport is None:
             return
         data = self.seal.close(body, sender_of(self.own))
+        if still is not None and not still():
+            return
         self.sent += 1
         self.bytes += len(data)
         self.transport.sendto(data, address)
--- a/badgerbend/rota/service.py
+++ b/badgerbend/rota/service.py
@@ -17,9 +17,10 @@
 from badgerbend.consensus.raft import Tuning
 from badgerbend.discovery.directory import Directory
 from badgerbend.discovery.members import parse_address
+from badgerbend.duties.allowance import Slices
 from badgerbend.duties.fence import Fence
 from badgerbend.duties.holder import Holder, Terms
-from badgerbend.duties.messages import Doubt, Found, Leave, Told, Want
+from badgerbend.duties.messages import Ask, Dealt, Doubt, Found, Leave, Told, Want
 from badgerbend.duties.probing import Prober, doubted, learned, said
 from badgerbend.ledger.store import BadStore
 from badgerbend.log import get
@@ -28,6 +29,7 @@
 from badgerbend.net.seal import Seal, bears, read_key
 from badgerbend.net.udp import Address, SealedSocket, address_text
 from badgerbend.rota import wire
+from badgerbend.rota.dealing import DEAL, Dealing, broker_name
 from badgerbend.rota.voting import Ballot
 from badgerbend.runtime.driver import Driver
 
@@ -62,16 +64,17 @@
         driver: Driver,
         directory: Directory,
         pool_of: Callable[[int], Pool | None],
+        slices: Slices | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.settings, self.duties, self.folder = settings, duties, folder
         self.life = int(time.time() * 1000)
+        self.name = broker_name(settings)
         self.keys = tuple(read_key(folder / path) for path in duties.key)
         super().__init__(Seal(self.keys, self.life))
         self.driver, self.directory, self.pool_of, self.clock = driver, directory, pool_of, clock
         self.log = get(part="duties")
         self.terms = terms_of(duties)
-        self.name = f"broker-{settings.identity.index}"
         self.voters = {v.name: parse_address(v.address) for v in duties.voter}
         self.ballot: Ballot | None = None
         self.holder: Holder | None = None
@@ -79,12 +82,16 @@
         home = settings.sites.home(settings.identity.zone) if settings.sites is not None else None
         self.duty = f"{PROBE}:{home.name}" if home is not None else PROBE
         self.prober = Prober(self.duty, self.name, duties.probe_every_ms / 1000.0, duties.probes)
+        self.dealing: Dealing | None = None
+        if slices is not None:
+            self.dealing = Dealing(slices, directory, settings.servers.cold_ms, driver.schedule.now_ms)
         self.findings = 0  # rows that others' probes told this broker
         self.acts = 0
         self._answered_at = self._probed_since = -1.0
         self._timer: asyncio.TimerHandle | None = None
         self._doubts: asyncio.TimerHandle | None = None
         self._probing: asyncio.TimerHandle | None = None
+        self._asking: asyncio.TimerHandle | None = None
         self._closed = False
 
     async def start(self) -> int:
@@ -103,13 +110,15 @@
         port = await self.open(duties.host, duties.port)
         if duties.advertise is not None:
             self.own = parse_address(duties.advertise)
-        stands = {self.duty: True} if duties.probing else {}
+        stands = dict.fromkeys([self.duty] * duties.probing + [DEAL] * (self.dealing is not None), True)
         at, voters = address_text(self.own), tuple(self.voters)
         self.holder = Holder(self.name, at, stands, voters, self.terms, self._seed(2), self.clock())
         if duties.probing:
             wait = DOUBT_S * self.holder.rng.random()
             self._doubts = self.loop.call_later(wait, self._say_doubts)
             self._probing = self.loop.call_later(LOOK_S, self._probe)
+        if self.dealing is not None:
+            self._asking = self.loop.call_later(self.dealing.every_s * self.holder.rng.random(), self._ask)
         self._after()
         return port
 
@@ -119,7 +128,7 @@
     async def close(self) -> None:
         """Gives back what it holds, lets another lead, and ends."""
         self._closed = True
-        for timer in (self._timer, self._doubts, self._probing):
+        for timer in (self._timer, self._doubts, self._probing, self._asking):
             if timer is not None:
                 timer.cancel()
         if self.holder is not None:
@@ -150,6 +159,10 @@
                 self._heard_doubt(message, source)
             case Found():
                 self._heard_found(message)
+            case Ask():
+                self._heard_ask(message, source)
+            case Dealt():
+                self._heard_dealt(message)
             case _:
                 if self.ballot is not None:
                     self.ballot.from_voter(message)
@@ -210,25 +223,31 @@
         self._after()
 
     # -- probing
-    def may_act(self) -> int | None:
-        """The epoch under which this broker may probe now, if it may."""
-        return self.holder.may_act(self.clock(), self.duty) if self.holder is not None else None
+    def may_act(self, duty: str | None = None) -> int | None:
+        """The epoch under which this broker may act on a duty now, if it may; without a name on probing."""
+        return self.holder.may_act(self.clock(), duty or self.duty) if self.holder is not None else None
+
+    def _to_holder(self, duty: str, body: bytes) -> None:
+        """To whoever holds a duty, as this broker was last told; to nobody where that is not known."""
+        assert self.holder is not None
+        mine = self.holder.duties[duty]
+        if mine.holder and mine.at:
+            try:
+                self.send(parse_address(mine.at), body)
+            except ValueError:
+                self.refused += 1
 
     def _say_doubts(self) -> None:
         assert self.holder is not None
         self._doubts = self.loop.call_later(DOUBT_S * self.holder.rng.uniform(0.8, 1.2), self._say_doubts)
-        mine = self.holder.duties[self.duty]
         doubts = doubted(self.driver.known(), self.directory.names)
         if not doubts:
             return
         doubt = said(doubts, self.name, self.duty)
         if self.may_act() is not None:
             self._heard_doubt(doubt, self.own)
-        elif mine.holder and mine.holder != self.name and mine.at:
-            try:
-                self.send(parse_address(mine.at), wire.act_body(doubt))
-            except ValueError:
-                self.refused += 1
+        elif self.holder.duties[self.duty].holder != self.name:
+            self._to_holder(self.duty, wire.act_body(doubt))
 
     def _heard_doubt(self, doubt: Doubt, source: Address) -> None:
         if doubt.duty == self.duty and self.may_act() is not None:
@@ -272,7 +291,7 @@
             if at == address_text(self.own):
                 self._heard_found(found)
             else:
-                self.send(parse_address(at), wire.act_body(found))
+                self.send(parse_address(at), wire.act_body(found), lambda: self.may_act() == epoch)
 
     def _heard_found(self, found: Found) -> None:
         """Under an older epoch than was seen it takes no effect, whoever says it."""
@@ -282,6 +301,28 @@
         known = self.directory.known
         self.driver.learn(learned(found, {r.server: known[r.server].number for r in found.rows if r.server in known}))
 
+    # -- cold allowance
+    def _ask(self) -> None:
+        assert self.holder is not None and self.dealing is not None
+        self._asking = self.loop.call_later(self.dealing.every_s * self.holder.rng.uniform(0.8, 1.2), self._ask)
+        if self.may_act(DEAL) is None:
+            self.dealing.rest()
+        for ask in self.dealing.asks():  # the dealer asks itself in the same way: its share is seen like any other
+            self._to_holder(DEAL, wire.act_body(ask))
+
+    def _heard_ask(self, ask: Ask, source: Address) -> None:
+        """An answer is an act: told under the epoch in force now, or not at all."""
+        if self.dealing is None:
+            return
+        dealt = self.dealing.asked(self.clock() * 1000.0, self.may_act(DEAL), ask)
+        if dealt is not None:
+            self.acts += 1
+            self.send(source, wire.act_body(dealt), lambda: self.may_act(DEAL) == dealt.epoch)
+
+    def _heard_dealt(self, dealt: Dealt) -> None:
+        if self.dealing is not None and dealt.duty == DEAL and self.fence.admits(dealt.duty, dealt.epoch):
+            self.dealing.told(dealt)
+
     # -- for people
     def _note(self, what: str, **values: object) -> None:
         self.log.info(what, **values)
@@ -314,6 +355,7 @@
         return {
             "name": self.name, "leader": holder.leader if holder is not None else "", "duties": duties, "vote": vote,
             "probes": self.prober.probes, "findings": self.findings, "acts": self.acts,
+            "dealing": self.dealing.status() if self.dealing is not None else None,
             "refused_acts": self.fence.refused, "sent": self.sent, "received": self.received,
             "refused": self.refused, "bytes": self.bytes,
         }  # fmt: skip
@@ -325,6 +367,8 @@
             metrics.duties.labels(duty, "epoch").set(d.holder_epoch)
         counts = {"probes": self.prober.probes, "findings": self.findings, "acts refused": self.fence.refused,
                   "datagrams sent": self.sent, "datagrams refused": self.refused}  # fmt: skip
+        if self.dealing is not None:
+            counts |= {"slices dealt": self.dealing.dealer.slices, "slices taken": self.dealing.slices.dealt}
         if ballot is not None:
             raft = ballot.voter.raft
             counts |= {"term": raft.term, "leads": int(ballot.voter.leads), "commit": raft.commit,
--- a/badgerbend/sites/tiers.py
+++ b/badgerbend/sites/tiers.py
@@ -85,6 +85,7 @@
         self._sound: dict[tuple[int, int], float] = {}  # by site and cell, until the next look
         self._charge: Site | None = None  # whose limit the part just placed takes from
         self._ahead = Bucket()
+        self.allowance: api.Allowance | None = None  # where brokers deal by demand what a returning site may get
 
     # -- What happens.
     def hear(self, now_ms: float, events: Sequence[api.Event]) -> None:
@@ -205,7 +206,10 @@
             elif presence.state is State.TRIAL:
                 pace = TRIAL_PACE
             elif site.tier == OWN:  # limited on its way back only; its brokers take like shares of its room
-                pace = min(presence.share * demand, self.rules.fill * room / site.brokers)
+                most = self.rules.fill * room / site.brokers
+                if self.allowance is not None and presence.state is State.BACK:
+                    most = self.allowance.site(now, site.name, most, presence.share * demand)
+                pace = min(presence.share * demand, most)
                 pace = max(pace, TRIAL_PACE if presence.state is State.BACK else 0.0)
             else:
                 foreign = self.rules.brokers - site.brokers
--- a/badgerbend/standin/acts.py
+++ b/badgerbend/standin/acts.py
@@ -1,7 +1,7 @@
 """The auditor of duties: judges from what passed between processes alone, and asks no broker.
 
-It reads the datagrams that the rig recorded. An act is a `Found`; it is the sender's at the moment it was sent, and
-takes effect where it arrives unless a newer epoch arrived there before. That rule is applied here anew.
+It reads the datagrams that the rig recorded. An act is a `Found` or a `Dealt`; it is the sender's at the moment it was
+sent, and takes effect where it arrives unless a newer epoch arrived there before. That rule is applied here anew.
 """
 
 from __future__ import annotations
@@ -11,12 +11,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from badgerbend.duties.messages import Found, Told
+from badgerbend.duties.messages import Ask, Dealt, Found, Told
 from badgerbend.net.seal import HEAD, MAC_BYTES
 from badgerbend.rota import wire
 from badgerbend.standin.audit import Finding
 
 Line = dict[str, Any]
+KEPT = 3.0  # lengths of a slice: so long a broker keeps to less than its share
+ROUNDING = 1e-9
 
 
 @dataclass(slots=True)
@@ -72,7 +74,7 @@
                     first = granted.setdefault((told.duty, told.epoch), told.holder)
                     if first != told.holder:
                         grants.cases.append(f"{told.duty} epoch {told.epoch}: told as {first}'s and as {told.holder}'s")
-        if not isinstance(message, Found):
+        if not isinstance(message, Found | Dealt):
             continue
         key = (message.duty, message.epoch)
         held = holdings.get(key)
@@ -104,6 +106,45 @@
     return Judged([one, order, grants], rows, dict(effects))
 
 
+def judge_deals(lines: Iterable[Line], slice_ms: float) -> Finding:
+    """What brokers were dealt of cold allowance, and what they stated as their shares, from what arrived.
+
+    A slice is taken to last from when its ask passed, as its broker counts it; who was dealt less keeps to it for
+    three lengths, as `docs/duties.md` says. Shares change with traffic, so the sum is held against the most that each
+    stated within that time.
+    """
+    finding = Finding("no more is dealt than the shares")
+    asked: dict[tuple[str, int], float] = {}
+    shares: dict[tuple[str, float], dict[str, list[tuple[float, float]]]] = defaultdict(lambda: defaultdict(list))
+    slices: dict[tuple[str, float], dict[str, tuple[float, float, float]]] = defaultdict(dict)  # pace, ask, answer
+    newest: dict[str, int] = defaultdict(int)
+    for line in sorted(lines, key=lambda row: float(row["t"])):
+        message, t = message_of(line["data"]), float(line["t"])
+        if isinstance(message, Ask):  # stated when it was sent, whether it arrived or not
+            asked.setdefault((str(line["from"]), message.seq), t)
+            for need in message.needs:
+                shares[need.thing, need.started][str(line["from"])].append((t, need.own))
+        elif isinstance(message, Dealt) and line["k"] == "passed" and message.epoch >= newest[str(line["to"])]:
+            to, since = str(line["to"]), asked.get((str(line["to"]), message.seq))
+            newest[to] = message.epoch
+            if since is None or t >= since + slice_ms:
+                continue
+            for row in message.slices:
+                key = (row.thing, row.started)
+                if since >= slices[key].get(to, (0.0, 0.0, 0.0))[1]:
+                    slices[key][to] = row.pace, since, t
+                finding.checked += 1
+                may = most = 0.0
+                for broker, stated in shares[key].items():
+                    own = max((pace for at, pace in stated if at > t - KEPT * slice_ms), default=stated[-1][1])
+                    pace, start, came = slices[key].get(broker, (own, 0.0, 0.0))
+                    kept = pace if t < start + slice_ms or (pace < own and t < came + KEPT * slice_ms) else own
+                    may, most = may + kept, most + own
+                if may > most * (1.0 + ROUNDING):
+                    finding.cases.append(f"{row.thing}: {may:.4f} a ms may go there at {t:.0f} ms, shares {most:.4f}")
+    return finding
+
+
 def table(holdings: Sequence[Holding], began: float) -> list[tuple[str, ...]]:
     """Rows for a person: times in seconds since the scene began."""
     return [
--- a/badgerbend/standin/scene.py
+++ b/badgerbend/standin/scene.py
@@ -47,6 +47,7 @@
 
 RATES = Path(__file__).parent / "rates" / "broker.conf"
 DOUBTER = "doubter"
+STARTING = 16  # processes that start at once: hundreds would wait for each other longer than one may take
 KEY = b"the key of a scene and of nothing else\n"
 Who = Literal["holder", "leader", "follower", "voter", "other", "all"]
 Do = Literal["kill", "stop", "end", "restart", "cut", "one-way", "delay", "loss", "heal", "cut-voters"]
@@ -179,7 +180,13 @@
             program = ["badgerbend", "run"] if not scene.drift else ["badgerbend.standin.drifted"]
             after = [] if not scene.drift else [str(rate)]
             self.processes[name] = BrokerProcess(settings, self.folder / f"{name}.conf", program, after)
-        await asyncio.gather(*(p.start() for p in self.processes.values()))
+        turn = asyncio.Semaphore(STARTING)
+
+        async def up(process: BrokerProcess) -> None:
+            async with turn:
+                await process.start()
+
+        await asyncio.gather(*(up(p) for p in self.processes.values()))
         brokers = {name: parse_address(at) for name, at in self.fronts.items()}
         self.doubter = _Doubter(brokers, tuple(self.world.servers), "probe")
         port = free_port(socket.SOCK_DGRAM)
--- /dev/null
+++ b/benchmarks/allowance.py
@@ -0,0 +1,94 @@
+"""Cold allowance in simulated time: sums kept over thousands of seeds, and what dealing it gains.
+
+python benchmarks/allowance.py seeds --count 10000
+python benchmarks/allowance.py gain --count 12
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).parent.parent), str(Path(__file__).parent.parent / "tests")]
+
+from tests.simallowance import Over, World  # noqa: E402
+from tests.simcold import release_and_shift, return_of_a_site  # noqa: E402
+
+LOSSES = (0.0, 0.2, 0.6)
+SCENES = {"all cold, clients moved": release_and_shift, "a site back": return_of_a_site}
+WAYS = {"each its own share": (False, False), "nobody deals": (True, False), "dealt": (True, True)}
+
+
+def one_seed(seed: int) -> tuple[int, str, int, int]:
+    """Seed, what broke, sums looked at, words dealt."""
+    world = World(seed, brokers=3 + seed % 8, loss=LOSSES[seed % len(LOSSES)])
+    try:
+        world.run(30_000)
+    except Over as err:
+        return seed, str(err), world.checks, world.dealt
+    return seed, "", world.checks, world.dealt
+
+
+def seeds(count: int, first: int) -> int:
+    began, wrong, checks, dealt = time.monotonic(), 0, 0, 0
+    with ProcessPoolExecutor() as pool:
+        for seed, what, looked, words in pool.map(one_seed, range(first, first + count), chunksize=20):
+            checks, dealt = checks + looked, dealt + words
+            if what:
+                wrong += 1
+                print(f"seed {seed}: {what}")
+    print(
+        f"{count} seeds from {first}, {time.monotonic() - began:.0f} s on {os.cpu_count()} cores: {wrong} wrong; "
+        f"{checks} sums, {dealt} answers of dealers"
+    )
+    return 1 if wrong else 0
+
+
+def one_play(job: tuple[str, str, int]) -> dict[str, float]:
+    scene, way, seed = job
+    dealt, held = WAYS[way]
+    return SCENES[scene](seed, dealt, held=held)  # type: ignore[no-any-return]
+
+
+def gain(count: int) -> int:
+    """Means over the same seeds, with 95% intervals of the paired difference to the first way (t)."""
+    import numpy as np
+    from scipy import stats
+
+    print("| scene | way | answered | ms | peak at a cold server, of its bound |")
+    print("|---|---|---|---|---|")
+    for scene in SCENES:
+        rows = {}
+        with ProcessPoolExecutor() as pool:
+            for way in WAYS:
+                rows[way] = list(pool.map(one_play, [(scene, way, s) for s in range(count)]))
+        base = rows[next(iter(WAYS))]
+        for way, found in rows.items():
+            cells = []
+            for what in ("answered", "ms"):
+                values = np.array([r[what] for r in found])
+                text = f"{values.mean():.3f}" if what == "answered" else f"{values.mean():.0f}"
+                if found is not base:
+                    diff = values - np.array([r[what] for r in base])
+                    low, high = stats.t.interval(0.95, len(diff) - 1, diff.mean(), stats.sem(diff))
+                    text += f" ({low:+.3f} to {high:+.3f})" if what == "answered" else f" ({low:+.0f} to {high:+.0f})"
+                cells.append(text)
+            print(f"| {scene} | {way} | {' | '.join(cells)} | {max(r['peak'] for r in found):.2f} |", flush=True)
+    return 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("what", choices=("seeds", "gain"))
+    parser.add_argument("--count", type=int, default=1000)
+    parser.add_argument("--first", type=int, default=0)
+    args = parser.parse_args()
+    return seeds(args.count, args.first) if args.what == "seeds" else gain(args.count)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/simsites.py
+++ b/tests/simsites.py
@@ -81,12 +81,13 @@
     def __init__(self, world, index, home, seed, brokers, make, **changes):
         self.world, self.index, self.home = world, index, home
         self.tiers = make(rules(home, brokers, **changes), seed)
+        self.tiers.allowance = allowance = world.allowance(index, seed)
         settings = replace(
             SETTINGS, broker=index, brokers=sum(brokers), zone=home, cells=CELLS, reach=REACH, cold_ms=5000.0,
-            retry_after=True, max_attempts=4, overload_factor=3.0,
+            retry_after=True, max_attempts=4, **world.module,
         )  # fmt: skip
         self.settings, self.out, self.ends, self._wake_at = settings, {}, Counter(), float("inf")
-        module = Aggregator(settings, seed, self.tiers)
+        module = Aggregator(settings, seed, self.tiers, allowance)
         self.driver = Driver(settings, module, self, self, self, self)
 
     def now_ms(self):
@@ -164,7 +165,9 @@
 
 
 class World(Clock):
-    """make: what gives a broker its preference, of its rules and a seed."""
+    """make: what gives a broker its preference, of its rules and a seed. module: settings of the decisions."""
+
+    module = {"overload_factor": 3.0}  # noqa: RUF012
 
     def __init__(self, seed=1, brokers=(1, 1), servers=8, make=Tiers, **changes):
         super().__init__()
@@ -179,6 +182,10 @@
             self.brokers.append(Broker(self, i, home, seed * 100 + i, brokers, make, **changes))
         self.tell()
 
+    def allowance(self, index, seed):
+        """What a broker is dealt by others; None: nothing is dealt."""
+        return None
+
     def count(self, broker, server):
         which = self.own if broker.home == server.zone else self.spilled
         which[server.zone, int(self.now // 1000)] += 1
@@ -208,13 +215,14 @@
             server.up, server.started = True, self.now
         self.tell()
 
-    def load(self, home, pace_s, cls=0, parts=4):
-        """Queries to the brokers of a site, so many a second together; times `rate`, which may be changed."""
+    def load(self, home, pace_s, cls=0, parts=4, weights=None):
+        """Queries to the brokers of a site, so many a second together; times `rate`, which may be changed. weights:
+        how much of them each gets, if not all the same."""
         brokers = [b for b in self.brokers if b.home == home]
 
         def one():
             self.asked.append((self.now, cls, parts))
-            self.rng.choice(brokers).ask(cls, parts)
+            self.rng.choices(brokers, weights)[0].ask(cls, parts)
             self.at(self.now + self.rng.expovariate(self.rate * pace_s / 1000.0), one)
 
         self.at(self.now, one)
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -2,9 +2,15 @@
 
 import pytest
 
+from badgerbend import api
 from badgerbend.duties.allowance import Dealer, Lengths, Slices, _Row, fair
 from badgerbend.duties.messages import MOST_SERVERS, Ask, Dealt, Malformed, Need, Slice, decode_act, encode
+from badgerbend.sites.presence import State
+from badgerbend.sites.tiers import Tiers
+from tests.conftest import ALL, Bench, line, of
 from tests.simallowance import DUTY, LENGTHS, NODE, SERVER, START, Over, World
+from tests.simcold import release_and_shift
+from tests.simsites import rules
 
 
 class BelievesAtOnce(Dealer):
@@ -218,3 +224,76 @@
     lengths = Lengths(1000.0, 0.1)
     assert lengths.held_ms / (1 - 0.1) <= lengths.booked_ms / (1 + 0.1) + 1e-9  # ended there before here, by true time
     assert lengths.counted_ms / (1 - 0.1) <= lengths.kept_ms / (1 + 0.1) + 1e-9
+
+
+# -- the decisions ask
+
+
+class Fixed:
+    """Deals the same to all, and notes what it was asked."""
+
+    def __init__(self, pace):
+        self.pace, self.asked = pace, []
+
+    def usual(self, now_ms, node, own, times, part, among):
+        self.asked.append((node, own, times, part, among))
+        return self.pace
+
+
+def cold_bench(allowance):
+    """One server, warm while the record is made, then started anew."""
+    b = Bench(lines=[line(10, 0)], reach=1, cells=1, extra_free=1000.0, max_attempts=50)
+    b.agg.allowance = allowance
+    b.learn(queries=10)
+    b.do(api.View(api.ViewKind.DELTA, (line(10, 0, started=b.now),)))
+    return b
+
+
+def sent_in(b, ms):
+    for _ in range(20):
+        b.query(ALL, parts=1)
+    b.log.clear()
+    return len(of(api.Send, b.wait(ms)))
+
+
+def test_a_cold_server_gets_what_was_dealt_in_the_place_of_the_own_share():
+    own = sent_in(cold_bench(None), 900.0)
+    much, little = Fixed(0.1), Fixed(1e-6)
+    assert sent_in(cold_bench(much), 900.0) > own >= sent_in(cold_bench(little), 900.0)
+    assert {(node, among) for node, *_, among in much.asked} == {(10, 1)}
+    assert len({part for *_, part, _ in much.asked}) == 20  # each part that would go there is named
+    assert all(0.2 * 2.0 * 0.75 <= times < 2.0 for _, _, times, _, _ in much.asked)
+
+
+def test_a_server_that_died_in_own_sight_is_fed_by_the_own_share_whatever_was_dealt():
+    b, much = Bench(lines=[line(10, 0)], reach=1, cells=1, extra_free=1000.0, max_attempts=50), Fixed(10.0)
+    b.agg.allowance = much
+    b.learn(queries=10)
+    _, sends = b.query(ALL, parts=1)
+    b.finish(of(api.Send, sends)[0].part, api.Outcome.CONNECT_FAILED)
+    b.wait(500.0)
+    assert much.asked == [] and b.agg._warmth(b.agg.nodes[10]) == 0.2
+
+
+def test_a_returning_site_of_ones_own_is_let_in_by_what_was_dealt():
+    def pace(dealt):
+        tiers = Tiers(rules(brokers=(4, 4)), 1)
+        tiers.allowance = type("Dealt", (), {"site": lambda self, now, name, own, wanted: dealt(own, wanted)})()
+        tiers.own.presence.state, tiers.own.presence.share, tiers.own.presence.until = State.BACK, 1.0, 1e9
+        tiers.fleet.view(0.0, api.View(api.ViewKind.FULL, tuple(
+            api.NodeLine(i, i % 4, api.NodeState.READY, 0.0, 0, 0, 1.0) for i in range(4)
+        )))  # fmt: skip
+        for _ in range(1000):
+            tiers.demand.add(100.0, 1)
+        tiers.hear(200.0, [])
+        return tiers.own.bucket.pace
+
+    asked = []
+    own = pace(lambda own, wanted: asked.append((own, wanted)) or own)
+    assert pace(lambda own, wanted: 2.0 * own) == pytest.approx(2.0 * own) and asked[-1][1] > 2.0 * asked[-1][0]
+
+
+def test_clients_that_moved_to_a_few_brokers_while_all_was_cold_are_served_sooner():
+    each, dealt = release_and_shift(3, dealt=False), release_and_shift(3, dealt=True)
+    assert dealt["ms"] < 0.9 * each["ms"] and dealt["answered"] >= each["answered"]
+    assert dealt["peak"] < 1.0 and each["peak"] < 1.0
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -58,7 +58,7 @@
 
 class Eager(Broker):
     class decisions(Aggregator):  # noqa: N801
-        def _admits(self, node):
+        def _admits(self, node, part):
             return True
 
 
