--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -373,9 +373,9 @@
         return prod(self._fared(cell) for cell in {p.shard % self.set.cells for p in query.parts})
 
     def _in_time(self, query: _Query) -> float:
-        """The chance that the least it may be answered with comes while its client waits, by recent answers; a
-        scout goes before the rest. Guards against work that nobody waits for, also where no parts are out to
-        foresee it by. Harm: that answers came to be quicker is noticed in seconds only."""
+        """The chance that the least it may be answered with comes while its client waits, by recent answers;
+        a scout goes before the rest. Guards against work that nobody waits for, also where no parts are out
+        to foresee it by. Harm: that answers came to be quicker is noticed in seconds only."""
         left, k = (query.end_at - self.now) / (1 + query.scout), len(query.parts)
         p = sum(ms <= left for ms in self.answered) / len(self.answered) if self.answered else 1.0
         least = query.fewest(min(query.cls.need, query.cls.floor))
