--- a/badgerbend/standin/rig.py
+++ b/badgerbend/standin/rig.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 import time
@@ -17,13 +18,19 @@
 
 Line = dict[str, Any]
 Address = tuple[str, int]
+PORTS = (12_000, 32_000)  # below those that systems give out by themselves
+TRIES = 100
+_chance = random.SystemRandom()  # not the seed of a test: several at once would all try the same ports
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """A port of loopback that nobody has at this moment."""
-    with socket.socket(socket.AF_INET, kind) as free:
-        free.bind(("127.0.0.1", 0))
-        return int(free.getsockname()[1])
+    """A port of loopback that nobody has at this moment, and that the system gives to no connection of its own: of
+    hundreds of processes one would else find its port taken by another's call before it has started."""
+    for _ in range(TRIES):
+        with socket.socket(socket.AF_INET, kind) as free, contextlib.suppress(OSError):
+            free.bind(("127.0.0.1", _chance.randrange(*PORTS)))
+            return int(free.getsockname()[1])
+    raise OSError(f"no free port found among {PORTS[0]} to {PORTS[1]}")
 
 
 @dataclass(slots=True)
--- a/badgerbend/standin/scene.py
+++ b/badgerbend/standin/scene.py
@@ -150,7 +150,8 @@
         self.duties = duties
         base = load(RATES)
         self.world = World(base.layout.shards, base.layout.cells, base.layout.reach, scene.seed, lambda line: None)
-        self.doubter: _Doubter
+        self.doubter: _Doubter | None = None
+        self.task: asyncio.Future[None] | None = None
 
     async def start(self) -> None:
         scene, replace = self.scene, msgspec.structs.replace
@@ -263,10 +264,12 @@
                 self.rig.between([name], to, event.do != "one-way", cut=False, delay_s=0.0, loss=0.0)
 
     async def stop(self) -> list[int]:
-        self.task.cancel()
+        if self.task is not None:  # else it did not come so far
+            self.task.cancel()
         ends = await asyncio.gather(*(p.ended() for p in self.processes.values() if p.process is not None))
         await self.world.close()
-        self.doubter.shut()
+        if self.doubter is not None:
+            self.doubter.shut()
         self.rig.close()
         return list(ends)
 
