--- a/badgerbend/standin/rig.py
+++ b/badgerbend/standin/rig.py
@@ -20,6 +20,7 @@
 Address = tuple[str, int]
 PORTS = (12_000, 32_000)  # below those that systems give out by themselves
 TRIES = 100
+_given = set[int]()
 _chance = random.SystemRandom()  # not the seed of a test: several at once would all try the same ports
 
 
@@ -27,9 +28,12 @@
     """A port of loopback that nobody has at this moment, and that the system gives to no connection of its own: of
     hundreds of processes one would else find its port taken by another's call before it has started."""
     for _ in range(TRIES):
+        port = _chance.randrange(*PORTS)
         with socket.socket(socket.AF_INET, kind) as free, contextlib.suppress(OSError):
-            free.bind(("127.0.0.1", _chance.randrange(*PORTS)))
-            return int(free.getsockname()[1])
+            free.bind(("127.0.0.1", port))
+            if port not in _given:  # to one that has not bound it yet
+                _given.add(port)
+                return port
     raise OSError(f"no free port found among {PORTS[0]} to {PORTS[1]}")
 
 
