One piece reads sealed words of all kinds; a candidate's wait follows from who is heard often

Read over: five copies of one try around a decoder (consensus and duties messages) are `read`; the time a candidate may stay silent was kept beside the set it follows from, and is now computed from it; the freshness of candidates was written three times; a second name for NodeState.READY is gone. An ask for another duty no longer ends the deal, which it could by a wrong word alone. Nothing else behaves otherwise, but that a candidate which lost its place hears of a new holder too.

--- a/badgerbend/consensus/messages.py
+++ b/badgerbend/consensus/messages.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
 MOST_BYTES = 1300  # of a message: with seal and envelope it stays within one Ethernet frame
 MOST_COMMAND = 900  # bytes of one entry's data
 MOST_VOTERS = 9
+T = TypeVar("T")
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 TextOrNone = Annotated[str, msgspec.Meta(max_length=64)]
 Number = Annotated[int, msgspec.Meta(ge=0, lt=1 << 62)]
@@ -154,6 +155,14 @@
     """Bytes that are none of ours, or out of bounds."""
 
 
+def read(decoder: msgspec.msgpack.Decoder[T], data: bytes) -> T:
+    """What bytes of anybody's say, by a decoder of typed arrays. Raises Malformed."""
+    try:
+        return decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
+
+
 def encode(message: Message | Record) -> bytes:
     return _encoder.encode(message)
 
@@ -170,10 +179,7 @@
 
 def decode(data: bytes) -> Message:
     """Raises Malformed."""
-    try:
-        message = _message_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
-        raise Malformed(str(err)) from err
+    message = read(_message_decoder, data)
     if isinstance(message, Feed):
         _check(message.entries, message.prev_index)
     return message
@@ -181,10 +187,7 @@
 
 def decode_record(data: bytes) -> Record:
     """Raises Malformed."""
-    try:
-        record = _record_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
-        raise Malformed(str(err)) from err
+    record = read(_record_decoder, data)
     if isinstance(record, Append):
         if not record.entries:
             raise Malformed("nothing to append")
--- a/badgerbend/duties/keeper.py
+++ b/badgerbend/duties/keeper.py
@@ -35,7 +35,6 @@
     failing: bool = False
     fails: int = 0
     barred_until: float = -math.inf
-    wait_s: float = 0.0  # it was told that it may stay silent so long
 
     def place(self) -> tuple[bool, bool]:
         """Less is better: at the duty's site, and no voter. Load is left out: it changes, and would flap."""
@@ -109,33 +108,31 @@
                 one = standing[want.source] = _Candidate(want.at, stand.near, want.votes, want.load, now)
             one.at, one.near, one.votes, one.load = want.at, stand.near, want.votes, want.load
             one.heard_at, one.failing = now, stand.failing
-            one.wait_s = self._wait(now, stand.duty, want.source)
+            self._hear_often(now, stand.duty, want.source)
             renews |= self._holds(want.source, stand)
         return renews
 
-    def _wait(self, now: float, duty: str, name: str) -> float:
-        """How long a candidate may stay silent: not at all while too few, or worse placed ones, are heard often."""
+    def _hear_often(self, now: float, duty: str, name: str) -> None:
+        """A candidate takes a place among those heard often, if one is free or somebody worse placed has it."""
         standing, often = self.candidates[duty], self.often.setdefault(duty, set())
-        fresh = FRESH * self.terms.ask_s
-        often -= {n for n in often if n not in standing or now - standing[n].heard_at > fresh}
+        often -= {n for n in often if n not in standing or now - standing[n].heard_at > self._fresh_s}
         if name not in often and len(often) >= ENOUGH:
             worst = max(often, key=lambda n: (standing[n].place(), n))
             if standing[worst].place() > standing[name].place():
                 often.discard(worst)
         if len(often) < ENOUGH:
             often.add(name)
-        if name in often:
-            return 0.0
-        return min(self.terms.ask_s * min(len(standing) / ENOUGH, SELDOM), MOST_WAIT_S)
 
     def wait_s(self, want: Want) -> float:
-        """What to tell a broker that showed itself: the shortest of what its duties allow."""
-        waits = (self.candidates.get(s.duty, {}).get(want.source) for s in want.stands)
-        return min((one.wait_s for one in waits if one is not None), default=0.0)
+        """How long a broker that showed itself may stay silent: not at all if it is heard often for any duty."""
+        if any(want.source in self.often.get(s.duty, ()) for s in want.stands):
+            return 0.0
+        most = min((len(self.candidates.get(s.duty, ())) for s in want.stands), default=0)
+        return min(self.terms.ask_s * min(most / ENOUGH, SELDOM), MOST_WAIT_S)
 
     def silent(self, duty: str) -> list[str]:
         """Candidates that are not heard often, and so would hear late of a new holder."""
-        return sorted(n for n, one in self.candidates.get(duty, {}).items() if one.wait_s > 0)
+        return sorted(self.candidates.get(duty, {}).keys() - self.often.get(duty, set()))
 
     def renew(self, received: float, want: Want) -> list[Line]:
         """The answer to a `want` that came then, now that the lead is confirmed."""
@@ -212,12 +209,16 @@
         """A new leader first hears who stands, or the first to be heard would win."""
         return self.lead_at + self.terms.ask_s
 
+    @property
+    def _fresh_s(self) -> float:
+        """Who was heard within this stands."""
+        return FRESH * self.terms.ask_s
+
     def _standing(self, now: float, duty: str) -> dict[str, _Candidate]:
         standing = self.candidates.get(duty, {})
-        for name in [n for n, c in standing.items() if now - c.heard_at > max(FRESH * self.terms.ask_s, BARRED_MOST_S)]:
+        for name in [n for n, c in standing.items() if now - c.heard_at > max(self._fresh_s, BARRED_MOST_S)]:
             del standing[name]
-        fresh = FRESH * self.terms.ask_s
-        return {n: c for n, c in standing.items() if now - c.heard_at <= fresh and now >= c.barred_until}
+        return {n: c for n, c in standing.items() if now - c.heard_at <= self._fresh_s and now >= c.barred_until}
 
     def _best(self, now: float, duty: str) -> str | None:
         """The best placed of those who stand, the least loaded of these, ties at random."""
--- a/badgerbend/duties/messages.py
+++ b/badgerbend/duties/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from badgerbend.consensus.messages import MOST_COMMAND, Malformed, Number, Text, TextOrNone
+from badgerbend.consensus.messages import MOST_COMMAND, Number, Text, TextOrNone, read
 
 MOST_DUTIES = 16  # that one broker stands for: a message about all of them fits a datagram
 MOST_WAIT_S = 60.0
@@ -190,23 +190,14 @@
 
 def decode(data: bytes) -> Message:
     """Raises Malformed."""
-    try:
-        return _message_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
-        raise Malformed(str(err)) from err
+    return read(_message_decoder, data)
 
 
 def decode_act(data: bytes) -> Act:
     """Raises Malformed."""
-    try:
-        return _act_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
-        raise Malformed(str(err)) from err
+    return read(_act_decoder, data)
 
 
 def decode_command(data: bytes) -> Command:
     """Raises Malformed."""
-    try:
-        return _command_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
-        raise Malformed(str(err)) from err
+    return read(_command_decoder, data)
--- a/badgerbend/rota/dealing.py
+++ b/badgerbend/rota/dealing.py
@@ -14,7 +14,6 @@
 
 DEAL = "cold"  # the duty's name: one for the whole fleet, since brokers of all sites may send to a cold server
 ASKS = 4.0  # times that a broker asks while a slice lasts: three may be lost
-WARMING = api.NodeState.READY
 
 
 def broker_name(settings: Settings) -> str:
@@ -51,7 +50,7 @@
         cold = {
             known.number: (name, known.started)
             for name, known in self.directory.known.items()
-            if known.line.state == WARMING and known.started_ms and now - known.started_ms < self.cold_ms
+            if known.line.state == api.NodeState.READY and known.started_ms and now - known.started_ms < self.cold_ms
         }
         self.slices.listed(now, cold)
         asks = self.slices.ask(now)
@@ -60,7 +59,9 @@
 
     def asked(self, clock_ms: float, epoch: int | None, ask: Ask) -> Dealt | None:
         """A broker's word; epoch: under which this one may act at this moment. What to answer, if anything."""
-        if epoch is None or ask.duty != DEAL:
+        if ask.duty != DEAL:
+            return None
+        if epoch is None:
             self.rest()
             return None
         if epoch != self.epoch:
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -3,8 +3,9 @@
 import pytest
 
 from badgerbend import api
+from badgerbend.consensus.messages import Malformed
 from badgerbend.duties.allowance import Dealer, Lengths, Slices, _Row, fair
-from badgerbend.duties.messages import MOST_SERVERS, Ask, Dealt, Malformed, Need, Slice, decode_act, encode
+from badgerbend.duties.messages import MOST_SERVERS, Ask, Dealt, Need, Slice, decode_act, encode
 from badgerbend.sites.presence import State
 from badgerbend.sites.tiers import Tiers
 from tests.conftest import ALL, Bench, line, of
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -10,11 +10,12 @@
 from badgerbend import api
 from badgerbend.config.settings import Duties, VoterAt, parse
 from badgerbend.config.sexpr import SettingsError
+from badgerbend.consensus.messages import Malformed
 from badgerbend.discovery.members import parse_address
 from badgerbend.duties.fence import Fence
 from badgerbend.duties.holder import Holder, Terms
 from badgerbend.duties.keeper import ENOUGH, SELDOM, STEADY, TAKEN_UP, Keeper
-from badgerbend.duties.messages import Doubt, Found, Free, Grant, Leave, Line, Malformed, Row, Stand, Told, Want, encode
+from badgerbend.duties.messages import Doubt, Found, Free, Grant, Leave, Line, Row, Stand, Told, Want, encode
 from badgerbend.duties.probing import Prober, doubted, learned, said
 from badgerbend.duties.table import Table
 from badgerbend.membership.swim import Tuning
