A query's last answer comes by an alarm at its very end: 20 ms more of each client's time

Change: the module asks for its next alarm at the end of the query that ends first, and keeps back 10 ms (a batch and the way to the client). Partial answers and keyed repeats keep their 30 ms. The GraphQL broker's allowance goes from 100 to 120 ms, so that what it keeps back in all stays as measured.

--- a/badgerbend/config/settings.py
+++ b/badgerbend/config/settings.py
@@ -34,7 +34,7 @@
     read_timeout_ms: Positive = 10_000.0
     idle_timeout_ms: Positive = 75_000.0
     stop_timeout_ms: Positive = 10_000.0
-    answer_allowance_ms: NotNegative = 100.0  # kept back of a client's time, to merge and write the answer
+    answer_allowance_ms: NotNegative = 120.0  # kept back of a client's time, to merge and write the answer
 
 
 class Identity(msgspec.Struct, frozen=True):
--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -14,7 +14,8 @@
 # -- Constants. On call: times are milliseconds; nothing here knows a deployment.
 TICK_MS = 20.0  # how often waiting work is looked at; small beside any aim, large beside a batch
 AGAIN_MS = 100.0  # what could not be sent is tried again so often
-END_EARLY_MS = 30.0  # last answers and keyed repeats leave this long before their limit: a tick and a batch
+END_EARLY_MS = 30.0  # partial answers and keyed repeats leave this long before their limit: a tick, a batch
+LAST_MS = 10.0  # last answers so long: a batch, the way to the client, and an alarm at its very end
 WINDOW_MS = 10_000.0  # the record's age limit, so that the mix before a shift is gone soon after it
 WINDOW_COUNT = 400  # and its size limit: enough for the tail that spares answer, cheap to sort each second
 FEW = 20  # below so many answers the record says nothing: the middle of twenty is steady
@@ -77,7 +78,7 @@
 class _Query:
     def __init__(self, event: api.Query, cls: api.QueryClass, now: float) -> None:
         self.id, self.number, self.cls, self.aim_at = event.id, event.number, cls, now + cls.aim_ms
-        self.end_at = now + (event.time_left_ms if isfinite(event.time_left_ms) else 0.0) - END_EARLY_MS
+        self.end_at = now + (event.time_left_ms if isfinite(event.time_left_ms) else 0.0) - LAST_MS
         if cls.late_worth <= 0:  # worthless after its aim: ended there, which frees its servers
             self.end_at = min(self.end_at, self.aim_at)
         self.parts, self.held = list[_Part](), list[_Part]()  # held: not sent, spares of an any-m query
@@ -141,6 +142,7 @@
         if now_ms >= self.alarm_at:
             self._look()
         next_look = now_ms + (TICK_MS if self.queries else PERIOD_MS)
+        next_look = min([next_look, *(q.end_at for q in self.queries.values() if q.end_at > now_ms)])
         if not now_ms < self.alarm_at <= next_look:
             self.alarm_at = next_look
             self.acts.append(api.SetAlarm(next_look - now_ms, 0))
