--- a/tests/simtold.py
+++ b/tests/simtold.py
@@ -96,7 +96,7 @@
     length: float = 14.0
     spans: dict[int, list[tuple[float, float]]] = field(default_factory=dict)  # each agent's silences
     news: list[tuple[float, str, dict]] = field(default_factory=list)
-    move_at: float = float("inf")
+    moves: list[float] = field(default_factory=list)  # to the next agent each, by a new configuration
     resets: list[float] = field(default_factory=list)  # of all calls to the agent
 
 
@@ -121,19 +121,21 @@
         self.links, self.sends, self.broken, self.ended, self.asked = [], 0, [], 0, 0
 
     def _draw(self, rng, day):
-        for agent in (0, 1):
+        for agent in (0, 1, 2):
             at, day.spans[agent] = self.begin + rng.uniform(-3.0, 4.0), []
             for _ in range(rng.choice([0, 1, 1, 2])):
                 end = at + rng.choice([rng.uniform(0.05, 0.6), rng.uniform(0.6, 6.0)])
                 day.spans[agent].append((at, end))
                 at = end + rng.uniform(0.3, 4.0)
         if rng.random() < 0.5:
-            day.move_at = self.begin + rng.uniform(2.0, 9.0)
+            first = self.begin + rng.uniform(2.0, 9.0)
+            again = first + rng.choice([rng.uniform(0.0, 0.1), rng.uniform(0.1, 6.0)])
+            day.moves = [first, again][: rng.choice([1, 2])]
         day.resets = [self.begin + rng.uniform(1.0, 12.0) for _ in range(rng.choice([0, 0, 2]))]
         names = [f"s{i}" for i in range(self.servers)]
-        around = [end for spans in day.spans.values() for _, end in spans] + [self.begin, day.move_at]
+        around = [end for spans in day.spans.values() for _, end in spans] + [self.begin, *day.moves]
         for name in rng.sample(names, max(self.servers // 3, 2)):  # others stay, or nothing would be sent
-            near = rng.choice([at for at in around if at < 1e9])
+            near = rng.choice(around)
             at = max(near + rng.uniform(-1.5, 1.5), self.begin - 3.0)
             moves = {"endpoint": f"10.9.0.{names.index(name)}:9", "state": "up"}
             after = [{"state": "removed"}, {"state": "up"}, moves]
@@ -208,8 +210,9 @@
         first = self.begin + self.start_s  # the agent may have fallen silent before anything could be asked
         if told <= first + self.grace and self.audible(0, first) > first:
             told = self.audible(0, first)
-        if told > self.day.move_at:
-            told = self.audible(1, max(self.audible(1, at), self.day.move_at + MOVED_S))
+        for agent, moved in enumerate(self.day.moves, 1):
+            if told > moved:
+                told = self.audible(agent, max(at, moved + MOVED_S))
         return told
 
     def sent(self, address, part):
@@ -246,7 +249,9 @@
         self.loop.turn_s = self.turn_s
         self.service = service = services.Service(made)
         service.tally.line = lambda what, **values: None
-        self._at(self.day.move_at, lambda: service.reload(lambda: replace(made, discovery=("10.2.0.1", 8501))))
+        for agent, at in enumerate(self.day.moves, 1):
+            moved = replace(made, discovery=("10.2.0.1", 8500 + agent))
+            self._at(at, lambda moved=moved: service.reload(lambda: moved))
         for at in self.day.resets:
             self._at(at, self.cut_watches)
         await service.start()
