A changed row whose name is no text stops no list; of two rows the last state that holds is told

`Reading._leaving` looked a row's name up outside its guard: a list as a name raised TypeError in the loop's callback, and the watch would have stopped for good. And where a first row made a server ready and a second repeated the drain that was known, the module was told the first: `changed` kept it.

Both are mended where they lie, each with a test that fails without it (rows of seven kinds; a row that repeats what is known). The list's target has no default for the grace any more, since a wrong one would go unnoticed.

--- a/badgerbend/discovery/directory.py
+++ b/badgerbend/discovery/directory.py
@@ -157,6 +157,8 @@
         old = directory.known.get(name)
         if old is None or old.line != known.line:
             self.changed[name] = known.line
+        else:
+            self.changed.pop(name, None)  # of two rows the first had changed it
         self.lines[name] = known
 
     def _leaving(self, raw: msgspec.Raw) -> tuple[str, _Known] | None:
@@ -164,9 +166,9 @@
         stays in service because the word of its leaving came with fewer fields, or with a state not known here."""
         try:
             found = self.directory.leaving(msgspec.json.decode(raw))
-        except NO_ROW:
+            old = self.directory.known.get(found[0]) if found else None
+        except NO_ROW:  # a name that is no text among them
             return None
-        old = self.directory.known.get(found[0]) if found else None
         if found is None or old is None:
             return None
         return found[0], replace(old, line=replace(old.line, state=found[1]))
--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -20,8 +20,8 @@
 MAX_BYTES = 4_194_304
 CHANGED_S = 0.02  # well within the time in which the next call goes on with the watch
 # Where the list is pushed, what the agent has counts as told, whether or not this broker has a call open. A call that
-# waited when discovery went down is never answered, so what came at the return is heard when its wait is over, given up
-# and asked anew. These shares of a drain's grace add up to that; the rest is for reading it and for parts under way.
+# waited when discovery went down may never be answered: what came at the return is heard when its wait is over, it is
+# given up and put again. These shares of a drain's grace add up to that; the rest is for reading and parts under way.
 WAIT, AT_ONCE, AGAIN = 0.35, 0.15, 0.1
 LONGEST_S = 5.0  # no call waits longer, whatever the grace
 SHORTEST_S = 0.1  # of a grace: below it there is no time left to ask in
@@ -91,7 +91,7 @@
 
     max_bytes = MAX_BYTES
 
-    def __init__(self, names: Names, address: tuple[str, int], asks: bool = False, drain_grace_s: float = 0.5) -> None:
+    def __init__(self, names: Names, address: tuple[str, int], asks: bool, drain_grace_s: float) -> None:
         self.names, self.asks = names, asks
         self.host, self.port = address
         grace = max(drain_grace_s, SHORTEST_S)
--- a/badgerbend/platform/config.py
+++ b/badgerbend/platform/config.py
@@ -16,7 +16,7 @@
 from badgerbend.platform import names
 
 MAX_BYTES = 16_777_216
-DRAIN_GRACE_MS = 250.0  # where the settings name none: no rule holds this broker to more, and the list is cheap to ask
+DRAIN_GRACE_MS = 250.0  # where the settings name none: short, since the agent on the own machine is cheap to ask
 
 
 class ConfigError(Exception):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,7 +16,7 @@
 
 from badgerbend import api
 from badgerbend.discovery import members
-from badgerbend.discovery.directory import Directory, listed
+from badgerbend.discovery.directory import Directory, Reading, listed
 from badgerbend.platform import config, names
 from badgerbend.standin.agent import Agent
 from badgerbend.standin.framenode import FrameNode
@@ -474,6 +474,34 @@
         assert [line.state for line in view.lines] == [api.NodeState.DRAINING] and len(wrong) == 1
 
 
+def test_a_row_that_repeats_what_is_known_takes_back_the_one_before_it():
+    directory = Directory(CELLS, members.form(names.MEMBERS, ("here",), ("m",)), one_clock=True)
+    row = {"uid": "s0", "endpoint": "127.0.0.1:9", "az": "here", "model": "m", "pod_group": 0, "state": "draining"}
+    directory.read(listed(msgspec.json.encode([row])), 0.0, 0.0)
+    reading = Reading(directory, listed(msgspec.json.encode([row | {"state": "up"}, row])), 1.0, 1.0, whole=False)
+    list(reading.slices())
+    reading.take()
+    assert [line.state for view in reading.news() for line in view.lines] == []
+    assert directory.known["s0"].line.state == api.NodeState.DRAINING
+
+
+@pytest.mark.parametrize("row", [
+    {"uid": ["s0"], "state": "removed"}, {"uid": {}, "state": "draining"}, {"uid": "s0", "state": ["up"]},
+    {"state": "x"}, [], None, 7,
+])  # fmt: skip
+def test_rows_that_are_none_at_all_stop_no_list(row):
+    leaving = members.leaving(names.MEMBERS)
+    directory = Directory(CELLS, members.form(names.MEMBERS, ("here",), ("m",)), one_clock=True, leaving=leaving)
+    good = {"uid": "s0", "endpoint": "127.0.0.1:9", "az": "here", "model": "m", "pod_group": 0, "state": "up"}
+    directory.read(listed(msgspec.json.encode([good])), 0.0, 0.0)
+    news = [row, good | {"uid": "s1", "state": "draining"}]
+    reading = Reading(directory, listed(msgspec.json.encode(news)), 1.0, 1.0, whole=False)
+    list(reading.slices())
+    reading.take()
+    assert directory.known["s1"].line.state == api.NodeState.DRAINING and len(reading.wrong) == 1
+    assert directory.known["s0"].line.state == api.NodeState.READY
+
+
 def test_without_any_list_it_is_not_ready():
     async def main():
         async with Stage(each=0, told=False) as s:
