--- a/tests/simtold.py
+++ b/tests/simtold.py
@@ -112,7 +112,6 @@
         self.servers = rows or rng.choice([9, 18, 18, 60])
         self.begin = self.loop.now
         self.start_s = rng.choice([0.1, 0.4, 1.5])  # until the program can do anything
-        self.serves_at = None
         self.known_old = rng.random() < 0.7
         self.keeps = rng.random() < 0.5  # an agent that answers, at its return, what waited when it fell silent
         self.fields = rng.choice(["all", "all", "few"])
@@ -268,7 +267,6 @@
         for at in self.day.resets:
             self._at(at, self.cut_watches)
         await service.start()
-        self.serves_at = self.loop.now
         end = self.begin + self.day.length
         while self.loop.now < end:
             for _ in range(self.rng.choice([1, 1, 4])):
--- a/tests/test_silent_agent.py
+++ b/tests/test_silent_agent.py
@@ -16,7 +16,7 @@
 
 class Fallen:
     """An agent in a time of the test's own, behind the watch's pool: silent for spans of it, at once otherwise. What it
-    was asked while it was silent, or what waited when that began, it never answers; unless `keeps`.
+    was asked while it was silent, or what waited when that began, it never answers.
 
     news: when (seconds) and what state the one server has from then on; those of a silent time it has from its end.
     late: what each turn of the broker's loop comes too late, in seconds; a connection, a question and its answer take
