--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -288,3 +288,18 @@
         await server.close(0)
 
     run(main)
+
+
+def test_a_request_whose_connection_comes_up_after_the_time_to_begin_is_not_sent():
+    async def main():
+        asked = []
+        server = HttpServer(lambda exchange: asked.append(exchange), ServerLimits())
+        port = await server.start("127.0.0.1", 0)
+        pool, ends = Pool("127.0.0.1", port, PoolLimits()), []
+        pool.request(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n", lambda r: ends.append(r.end), 0.0)  # long over
+        await until(lambda: ends)
+        assert ends == [End.CONNECT_FAILED] and not asked and len(pool.idle) == 1
+        pool.close()
+        await server.close(0.0)
+
+    run(main)
