Lingering close, a hang-up seen while reading stands still, and a few accepts a turn

At fault, and mended: - `write_answer` and `refuse` closed at once: bytes that came behind, or a body still coming, turned the close into a reset. Now the write side is shut, what comes is thrown away for 0.5 s and 256 KB at most, never served, and a lingering connection is the first to make room. - `on_message_complete` and `refuse` paused reading, so nobody saw the client leave: its requests were served one after the other. Requests are now read ahead by count and 16 KB; beyond that reading stops and the socket is asked every 50 ms whether its peer hung up. - what could not be read behind a request got no 4xx, only a close; it is told after the answers it waits for. - `close_if_idle` and `make_room` cut a connection whose next request had arrived in that turn, or an answer half written. - asyncio accepts as many connections in one turn as the backlog holds: 1,024 at once against 256 descriptors. Now 4 a turn; the kernel's backlog stays at 1,024. - a request that became whole after the listener had closed kept its whole deadline, past the earliest SIGKILL; its time now ends before that, or it is refused. SIGTERM before the listener opens ends the start with status 0.

--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -2,12 +2,18 @@
 
 A handler is called with each whole request and answers by `Exchange.respond`, now or later. A connection answers
 its requests in order, one at a time. A peer that closes its connection is told to the exchange it was waiting
-for, by `on_gone`.
+for, by `on_gone`; so reading goes on while answers are waited for, and where it has to stop the socket is asked.
+
+The last answer on a connection is followed by a lingering close: the write side is shut, and what still comes is read
+and thrown away within bounds. A close over unread bytes would reset the connection, and the reset can overtake the
+answer.
 """
 
 from __future__ import annotations
 
 import asyncio
+import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,7 +24,14 @@
 
 REASONS = {s.value: s.phrase.encode() for s in HTTPStatus}
 SWEEP_S = 0.5  # how often slow readers and idle connections are looked for
-MOST_WAITING = 8  # requests sent ahead of their answers before reading stops
+HANG_UP_S = 0.05  # how often, while reading is paused, whether the peer has closed
+MOST_WAITING = 8  # requests read ahead of their answers; what comes behind them waits unread
+SLICE = 4096  # bytes read at a time: a few requests
+MOST_AHEAD = 16_384  # bytes that wait unread before reading is paused
+LINGER_S, LINGER_BYTES = 0.5, 262_144  # of a lingering close: the client needs a way there to read its answer
+BACKLOG = 1024  # connections that the kernel holds for us
+ACCEPTS = 4  # of them accepted in one turn: two turns pass before the limit on connections sees these
+HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -32,7 +45,7 @@
     read_timeout_s: float = 10.0  # for one request to arrive; the first counts from the connection's start
     idle_timeout_s: float = 75.0  # between requests
     silent_timeout_s: float = 75.0  # before the first one has begun
-    max_kept: int = 10_000  # with more connections open, each answer is the last on its own
+    max_kept: int = 10_000  # with more connections open and not lingering, each answer is the last on its own
 
 
 class Exchange:
@@ -77,7 +90,7 @@
         self.handler, self.limits = handler, limits
         self.connections: set[_Connection] = set()
         self.closing = False
-        self.turned_away = 0
+        self.turned_away = self.lingering = 0
         self.address = ("", 0)  # once it listens
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -86,12 +99,28 @@
     async def start(self, host: str, port: int) -> int:
         """Listens; returns the port. Raises OSError where the address is taken or not ours."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Connection(self, loop), host, port, backlog=1024)
+        listener = await self._listener(loop, host, port)
+        # asyncio accepts as many in one turn as it is told to hold in the backlog: a flood would take all descriptors
+        # before the limit sees one of them, and leave none for the list's agent or for servers.
+        self._server = await loop.create_server(lambda: _Connection(self, loop), sock=listener, backlog=ACCEPTS)
+        listener.listen(BACKLOG)
         self._sweeper = loop.call_later(SWEEP_S, self._sweep, loop)
-        bound = self._server.sockets[0].getsockname()
+        bound = listener.getsockname()
         self.address = (str(bound[0]), int(bound[1]))
         return self.address[1]
 
+    async def _listener(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> socket.socket:
+        family, kind, proto, _, address = (await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM))[0]
+        listener = socket.socket(family, kind, proto)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.setblocking(False)
+            listener.bind(address)
+        except OSError:
+            listener.close()
+            raise
+        return listener
+
     def stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
@@ -107,7 +136,7 @@
         if self.connections:
             self._emptied = loop.create_future()
             await asyncio.wait([self._emptied], timeout=grace_s)
-        cut = len(self.connections)
+        cut = sum(connection.holds() for connection in self.connections)
         for connection in list(self.connections):
             connection.abort()
         if self._sweeper is not None:
@@ -115,16 +144,21 @@
         return cut
 
     def make_room(self) -> bool:
-        """Cuts the connection that can best be spared: one with no request held; silent or idle before half read,
-        the longest first. False if all hold requests."""
-        spare = [c for c in self.connections if c.active is None and not c.waiting]
-        if not spare:
+        """Cuts the connection that can best be spared: one with no request held and no answer half written; one that
+        lingers, then silent or idle, then half read, the longest first; with a request just arriving only if there is
+        no other. False if all hold requests."""
+        spare = [c for c in self.connections if not c.holds() and not c.writing()]
+        spare.sort(key=lambda c: (not c.lingering, c.reading, c.since))
+        victim = next((c for c in spare if c.lingering or not c.arriving()), spare[0] if spare else None)
+        if victim is None:
             return False
-        victim = min(spare, key=lambda c: (c.reading, c.since))
         self.connections.discard(victim)
         victim.abort()
         return True
 
+    def crowded(self) -> bool:
+        return len(self.connections) - self.lingering > self.limits.max_kept
+
     def forget(self, connection: _Connection) -> None:
         self.connections.discard(connection)
         if not self.connections and self._emptied is not None and not self._emptied.done():
@@ -148,8 +182,11 @@
         self.asked = False  # a request came whole
         self.reading = False
         self.blocked_since: float | None = None
-        self.refusing = False
-        self.paused = False
+        self.refusal: tuple[int, bytes] | None = None  # owed after the answers to what was read before
+        self.ahead = bytearray()  # came behind more requests than are read ahead
+        self.thrown = 0  # bytes that came after the last request that is served
+        self.lingering = self.paused = False
+        self._timer: asyncio.TimerHandle | None = None  # of the lingering close, or of looking for the peer's
         self._reset()
 
     def _reset(self) -> None:
@@ -169,6 +206,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.forget(self)
         self.transport = None
+        self.server.lingering -= self.lingering
+        if self._timer is not None:
+            self._timer.cancel()
         del self.parser  # it points back here: else each connection waits for the garbage collector
         lost, self.active = [*([self.active] if self.active else []), *self.waiting], None
         self.waiting.clear()
@@ -178,11 +218,87 @@
                 exchange.on_gone()
 
     def data_received(self, data: bytes) -> None:
-        if self.refusing:
+        if self.lingering or self.refusal is not None:
+            self._throw_away(len(data))
             return
         if not self.reading:
             self.reading = True
             self.since = self.loop.time() if self.asked else self.since
+        if self.ahead or len(data) > SLICE:
+            self.ahead += data
+            self._read_on()
+        else:
+            self._parse(data)
+
+    def _read_on(self) -> None:
+        """Reads what waits, as far as requests are read ahead of their answers."""
+        while self.ahead and len(self.waiting) < MOST_WAITING and self.transport and self.refusal is None:
+            piece = bytes(self.ahead[:SLICE])
+            del self.ahead[:SLICE]
+            self._parse(piece)
+        if self.refusal is not None:
+            self.ahead.clear()
+        self._pause(len(self.ahead) > MOST_AHEAD)
+
+    def _pause(self, on: bool) -> None:
+        """Stops reading, or goes on. While it is stopped nobody would hear that the peer closes."""
+        if on == self.paused or self.transport is None or self.transport.is_closing():
+            return
+        self.paused = on
+        if on:
+            self.transport.pause_reading()
+            self._timer = self.loop.call_later(HANG_UP_S, self._look_for_hang_up)
+        else:
+            self.transport.resume_reading()
+            if self._timer is not None:
+                self._timer.cancel()
+
+    def _look_for_hang_up(self) -> None:
+        if self._polled(HUNG_UP):
+            self.abort()
+        else:
+            self._timer = self.loop.call_later(HANG_UP_S, self._look_for_hang_up)
+
+    def _polled(self, events: int) -> bool:
+        """Whether one of these events waits at the socket."""
+        if self.transport is None or (sock := self.transport.get_extra_info("socket")) is None:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), events)
+        return bool(poll.poll(0))
+
+    def arriving(self) -> bool:
+        """Whether something waits to be read in this very turn."""
+        return self._polled(select.POLLIN)
+
+    def holds(self) -> bool:
+        """Whether it has a request that is owed an answer."""
+        return self.active is not None or bool(self.waiting)
+
+    def writing(self) -> bool:
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
+    def _throw_away(self, count: int) -> None:
+        self.thrown += count
+        if self.thrown <= LINGER_BYTES:
+            return
+        if self.lingering:
+            self.abort()
+        else:  # answers are still owed
+            self._pause(True)
+
+    def _linger(self) -> None:
+        """Ends the connection once what was written is read, or the bounds are reached."""
+        if self.transport is None or self.lingering:
+            return
+        self._pause(False)
+        self.lingering, self.since = True, self.loop.time()
+        self.server.lingering += 1
+        self.ahead.clear()
+        self.transport.write_eof()
+        self._timer = self.loop.call_later(LINGER_S, self.abort)
+
+    def _parse(self, data: bytes) -> None:
         if not self.head_done:
             self.head_bytes += len(data)
         try:
@@ -198,7 +314,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.refuse(400, b"malformed HTTP")
         else:
-            if not self.head_done and self.head_bytes > self.server.limits.max_head_bytes:
+            if self.refusal is None and not self.head_done and self.head_bytes > self.server.limits.max_head_bytes:
                 self.refuse(431, b"header section too large")
 
     def pause_writing(self) -> None:
@@ -252,9 +368,6 @@
             self._serve(exchange)
             return
         self.waiting.append(exchange)
-        if len(self.waiting) >= MOST_WAITING and self.transport and not self.paused:
-            self.paused = True
-            self.transport.pause_reading()
 
     # -- answers
     def write_answer(
@@ -263,9 +376,9 @@
         transport = self.transport
         if transport is None:
             return
-        crowded = len(self.server.connections) > self.server.limits.max_kept
-        ending = self.server.closing or self.refusing or crowded
-        keep = exchange.keep_alive and (not ending or bool(self.waiting))
+        ending = self.server.closing or self.server.crowded()
+        more = bool(self.waiting or self.ahead) or self.refusal is not None
+        keep = exchange.keep_alive and (more or not ending)
         head = [b"HTTP/1.1 %d %s\r\ncontent-length: %d\r\n" % (status, REASONS.get(status, b"-"), len(body))]
         if content_type:
             head.append(b"content-type: %s\r\n" % content_type)
@@ -278,17 +391,23 @@
         self.active = None
         self.since = self.loop.time()
         if not keep:
-            transport.close()
-        elif self.waiting:
+            self.waiting.clear()  # requests behind the last answer were never taken
+            self._linger()
+        elif more:
             self.loop.call_soon(self._next)
 
     def _next(self) -> None:
-        if self.active is None and self.waiting and self.transport:
+        if self.active is not None or self.transport is None or self.lingering:
+            return
+        if self.waiting:
             self.active = self.waiting.popleft()
-            if self.paused and len(self.waiting) < MOST_WAITING // 2:
-                self.paused = False
-                self.transport.resume_reading()
+            if len(self.waiting) < MOST_WAITING // 2:
+                self._read_on()
             self._serve(self.active)
+        elif self.refusal is not None:
+            self.refuse(*self.refusal)
+        elif self.ahead:
+            self._read_on()
 
     def _serve(self, exchange: Exchange) -> None:
         """A handler that breaks costs its own request an error, and nobody else anything."""
@@ -300,18 +419,19 @@
 
     def refuse(self, status: int, text: bytes) -> None:
         """Answers what cannot be read, once, and closes; after the answers to what was read before it."""
-        self.refusing = True
-        if self.transport is None:
+        if self.lingering or self.transport is None or self.transport.is_closing():
             return
-        if self.active is not None:
-            self.transport.pause_reading()
+        self.refusal = self.refusal or (status, text)
+        if self.holds():
             return
         head = b"HTTP/1.1 %d %s\r\ncontent-length: %d\r\ncontent-type: text/plain\r\nconnection: close\r\n\r\n"
         self.transport.write(head % (status, REASONS[status], len(text)) + text)
-        self.transport.close()
+        self._linger()
 
     def close_if_idle(self) -> None:
-        if self.active is None and not self.reading and self.transport:
+        """Closes it between requests. One whose next request arrives in this very turn is read first."""
+        busy = self.holds() or self.reading or self.lingering
+        if not busy and self.transport and not self.arriving():
             self.transport.close()
 
     def abort(self) -> None:
@@ -322,7 +442,9 @@
         limits = self.server.limits
         if self.blocked_since is not None and now - self.blocked_since > limits.read_timeout_s:
             self.abort()  # it does not read what it asked for
-        elif self.reading and now - self.since > limits.read_timeout_s:
+        elif self.lingering:
+            pass  # it has its own bounds
+        elif self.reading and not self.holds() and now - self.since > limits.read_timeout_s:
             self.refuse(408, b"the request took too long to arrive")
         elif now - self.since > (limits.idle_timeout_s if self.asked else limits.silent_timeout_s):
             self.close_if_idle()
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 import re
 import zlib
 from collections.abc import Callable, Sequence
@@ -54,13 +56,14 @@
     """Serves a configuration's classes over a driver."""
 
     def __init__(self, config: Config, driver: Driver, ready: Callable[[], bool]) -> None:
-        self.driver, self.ready = driver, ready
+        self.driver, self.ready, self.loop = driver, ready, asyncio.get_running_loop()
         self.shards = config.shards
         self.classes = {name.encode(): i for i, name in enumerate(config.classes)}
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.settings = config.settings
         self.open: dict[bytes, _Pending] = {}
         self.rejected = 0
+        self.over_at = math.inf  # on the loop's clock: whoever has no answer by then gets none
 
     def handle(self, exchange: Exchange) -> None:
         """Takes any request."""
@@ -107,7 +110,9 @@
         about = zlib.crc32(path[2]) if len(path) == 3 else 0
         parts = self._parts(exchange.body, request, key)
         retry = headers.get(names.RETRY) == b"1"
-        time_left = min(float(int(left)), cls.deadline_ms)
+        time_left = min(float(int(left)), cls.deadline_ms, (self.over_at - self.loop.time()) * 1000.0)
+        if time_left <= 0:
+            raise Rejected(503, "this broker ends")
         return request, QueryPlan(number, tenant or 0, about, time_left, retry, None, parts, request.decode())
 
     def _parts(self, raw: bytes, request: bytes, key: bytes | None) -> list[PartPlan]:
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -30,7 +30,11 @@
 SUMMARY_S = 5.0
 FOR_CLIENTS, FOR_NODES = 0.55, 0.3  # shares of the descriptors; the rest is for list, log, listener and loop
 FOR_KEPT = 0.2  # of them: well under the third that clients hold at most, or those who wait find none free
-GRACE_S = 0.65  # requests are taken for so long after the signal to end; what comes 0.7 s after it is owed no more
+GRACE_S = 0.65  # requests are taken for so long after the signal to end
+# What comes later than 0.7 s after the signal, on a connection that was half read, has to be answered before the
+# process is killed. That may be as soon as this and 0.7 s after the signal, or the longest deadline if that is shorter.
+KILLED_S = 3.0
+LATE_S = 0.3  # by so much the signal may be heard late, and the last answer be on its way
 NO_TIMEOUT_S = 10.0  # for a connection to come up, where the settings state no limit
 
 
@@ -130,10 +134,12 @@
         be back yet; then takes nothing new, and ends with the last query, at the longest deadline at the latest.
         Returns how many connections were cut with a request held."""
         self.ending = True
+        told_at = self.loop.time()
         self.tally.line("ending", open=len(self.front.open))
         await asyncio.sleep(GRACE_S)
-        longest = max((c.deadline_ms for c in self.config.settings.classes), default=0.0)
-        cut = await self.server.close(longest / 1000.0)
+        longest_s = max((c.deadline_ms for c in self.config.settings.classes), default=0.0) / 1000.0
+        self.front.over_at = told_at + GRACE_S + min(longest_s, KILLED_S) - LATE_S
+        cut = await self.server.close(longest_s)
         self.watch.close()
         self.transport.close()
         if self._sweeper is not None:
@@ -198,10 +204,17 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, end.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: service.reload(lambda: load(env)))
+    starting = loop.create_task(service.start())
+    ending = loop.create_task(end.wait())
+    await asyncio.wait([starting, ending], return_when=asyncio.FIRST_COMPLETED)
+    if not starting.done():  # told to end before it served anybody
+        starting.cancel()
+        service.tally.line("ended before it listened")
+        return 0
     try:
-        await service.start()
+        starting.result()
     except OSError as err:
         service.tally.line("cannot listen", field="listen", error=str(err))
         return 1
-    await end.wait()
+    await ending
     return 1 if await service.end() else 0
