--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -99,7 +99,7 @@
     async def start(self, host: str, port: int) -> int:
         """Listens; returns the port. Raises OSError where the address is taken or not ours."""
         loop = asyncio.get_running_loop()
-        listener = await self._listener(loop, host, port)
+        listener = await bound_socket(loop, host, port)
         # asyncio accepts as many in one turn as it is told to hold in the backlog: a flood would take all descriptors
         # before the limit sees one of them, and leave none for the list's agent or for servers.
         self._server = await loop.create_server(lambda: _Connection(self, loop), sock=listener, backlog=ACCEPTS)
@@ -109,18 +109,6 @@
         self.address = (str(bound[0]), int(bound[1]))
         return self.address[1]
 
-    async def _listener(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> socket.socket:
-        family, kind, proto, _, address = (await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM))[0]
-        listener = socket.socket(family, kind, proto)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.setblocking(False)
-            listener.bind(address)
-        except OSError:
-            listener.close()
-            raise
-        return listener
-
     def stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
@@ -171,6 +159,25 @@
         self._sweeper = loop.call_later(SWEEP_S, self._sweep, loop)
 
 
+async def bound_socket(loop: asyncio.AbstractEventLoop, host: str, port: int) -> socket.socket:
+    """A socket that has its address. Raises OSError."""
+    family: int = socket.AF_INET
+    address: tuple[object, ...] = (host, port)
+    try:
+        socket.inet_pton(family, host)
+    except OSError:  # a name, or IPv6; only for these the resolver, which opens files and sockets of its own
+        family, _, _, _, address = (await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM))[0]
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 class _Connection(asyncio.Protocol):
     def __init__(self, server: HttpServer, loop: asyncio.AbstractEventLoop) -> None:
         self.server, self.loop = server, loop
--- a/tests/simtold.py
+++ b/tests/simtold.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from badgerbend.frames.codec import Ask, frame
+from badgerbend.net import server as servers
 from badgerbend.platform import config
 from badgerbend.platform import service as services
 from badgerbend.runtime import loop as schedules
@@ -58,9 +59,12 @@
     async def create_connection(self, factory, host, port):
         return await self.world.connect(factory, (host, port))
 
-    async def create_server(self, factory, host, port, **_):
-        socket = SimpleNamespace(getsockname=lambda: (host, port))
-        return SimpleNamespace(sockets=[socket], close=lambda: None)
+    async def create_server(self, factory, **_):
+        return SimpleNamespace(close=lambda: None)
+
+
+async def bound_socket(loop, host, port):
+    return SimpleNamespace(getsockname=lambda: (host, port), listen=lambda backlog: None)
 
 
 class _Link:
@@ -238,7 +242,8 @@
     def play(self):
         """Plays the day; what was broken, as (time, server, seconds after it was told)."""
         asyncio.set_event_loop(self.loop)
-        then = schedules.time, services.time
+        then = schedules.time, services.time, servers.bound_socket
+        servers.bound_socket = bound_socket
         clock = SimpleNamespace(
             monotonic=self.loop.time, time=lambda: UNIX + self.loop.now, perf_counter=self.loop.time
         )
@@ -246,7 +251,7 @@
         try:
             self.loop.run_until_complete(self._main())
         finally:
-            schedules.time, services.time = then
+            schedules.time, services.time, servers.bound_socket = then
             self.loop.run_until_complete(asyncio.sleep(0.0))
             self.loop.close()
             asyncio.set_event_loop(None)
