Whatever became of a call to discovery, what it has is obeyed six seconds after it could be reached

Each target now has its bound: 0.7 of a grace, 2.5 s. - `Watch.move` and `read_list` dropped the slices of a list that had come whole: what it told was never obeyed while the new agent was silent. It is told to its end first. - a version lower than the one held was taken for nothing new: the whole list is asked for. - `Watch._ask` left an earlier timer or call standing, so two questions could be out at once.

--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -91,6 +91,7 @@
     extra_free: float | None  # further attempts: free ones in a window; None where no budget is stated
     extra_share: float | None
     extra_window_ms: float | None
+    told_ms: float = math.inf  # where asked: what the list has counts as told so long after, whatever became of a call
 
 
 # -- events
--- a/badgerbend/discovery/consul.py
+++ b/badgerbend/discovery/consul.py
@@ -23,6 +23,7 @@
         # Consul adds up to a sixteenth to the wait, so that calls do not end all at once
         self.wait_s = settings.wait_ms / 1000.0 * (1 + 1 / 16)
         self.patience_s = PATIENCE_S
+        self.most_s = 20 * PATIENCE_S
 
     def path(self, version: int | None) -> str:
         wait = self.settings.wait_ms / 1000.0
--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -23,9 +23,16 @@
 # waited when discovery went down may never be answered: what came at the return is heard when its wait is over, it is
 # given up and put again. These shares of a drain's grace add up to that; the rest is for reading and parts under way.
 WAIT, AT_ONCE, AGAIN = 0.35, 0.15, 0.1
+IN_DROPS = 0.7  # an answer that comes in drops is given up so long after its wait: with a pause and the next, a grace
 LONGEST_S = 5.0  # no call waits longer, whatever the grace
 SHORTEST_S = 0.1  # of a grace: below it there is no time left to ask in
-ASKED_WAIT_S, ASKED_PATIENCE_S = 2.0, 2.0  # a list that is asked for may be far away; its silence counts after 6 s
+# A list that is asked for may be far away. Whatever became of a call, a change counts as told so long after discovery
+# had it and could be reached: a third for a call that gets no answer, a third for the module's pause
+# (`Settings.told_ms`), a third for the answer. A call that waits, and falls silent, takes the first two and is put
+# again at once.
+TOLD_S = 6.0
+ASKED_WAIT_S = ASKED_PATIENCE_S = TOLD_S / 3
+ASKED_IN_DROPS_S = 1.25 * ASKED_PATIENCE_S  # the rest of the bound is the drain's grace
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +104,7 @@
         grace = max(drain_grace_s, SHORTEST_S)
         self.wait_s = ASKED_WAIT_S if asks else min(WAIT * grace, LONGEST_S)
         self.patience_s = ASKED_PATIENCE_S if asks else AT_ONCE * grace
+        self.most_s = ASKED_IN_DROPS_S if asks else IN_DROPS * grace
         self.pace = Pace(first_wait=AGAIN * grace / 2, most_wait=AGAIN * grace, changed=CHANGED_S)
 
     def path(self, version: int | None) -> str:
@@ -117,6 +125,8 @@
             raise ListError(f"no list: {err}") from err
         if not whole and version is None:
             raise ListError("changes only, where the whole list was asked for")
+        if not whole and version is not None and rev < version:
+            return None, None  # it knows less than this broker: the whole list is asked for
         if not whole and not rows and heard:
             return rev, None
         return rev, Reading(directory, rows, now_ms, unix_s, whole)
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -20,7 +20,6 @@
 # loop. A connection that comes up, a question and an answer take four. Guards against a slow broker that gives up the
 # same question for ever, when nobody was silent but itself late.
 TURNS = 5
-MOST_TURNS = 20 * TURNS  # of one answer, also one that comes in drops
 
 
 class Timer(Protocol):
@@ -54,6 +53,7 @@
     pace: Pace
     wait_s: float  # a call for what is newer may wait so long at the other end
     patience_s: float  # beyond that, a call is given up so long after the last sign of an answer
+    most_s: float  # and so long after its wait, whatever signs there are
 
     def path(self, version: int | None) -> str:
         """The path and query for what is newer than `version`; None: for the whole list."""
@@ -107,6 +107,7 @@
 
     def move(self, target: Target) -> None:
         """Asks another service from now on. The list in force stays until that one is heard; its versions are new."""
+        self._take_all()
         self._stop_call()
         self.pool.close()
         self.target, self.index, self.failures = target, None, 0
@@ -127,10 +128,17 @@
             self._ask()
 
     def read_list(self) -> None:
+        self._take_all()
         self.index = None
         self._stop_call()
         self._ask()
 
+    def _take_all(self) -> None:
+        """What came whole is in force before anything else is asked. Guards against news that are here, and so are
+        told, and that nobody hears of because the rest of their slices is dropped with the call."""
+        while self._taking is not None:
+            self._more()
+
     def close(self) -> None:
         self.following = False
         self._stop_call()
@@ -146,7 +154,7 @@
             call.abort()
 
     def _ask(self) -> None:
-        self._timer = None
+        self._stop_call()  # of two calls the first would be waited for by nobody
         target = self.target
         head = (
             f"GET {target.path(self.index)} HTTP/1.1\r\nhost: {target.host}:{target.port}\r\n"
@@ -167,7 +175,7 @@
             self._got, self._quiet = self._call.received, 0
         else:
             self._quiet += 1
-        if self._quiet < TURNS and self._turns < MOST_TURNS:
+        if self._quiet < TURNS and self._turns < TURNS * self.target.most_s / self.target.patience_s:
             self._limit = self.clock.call_later(self.target.patience_s / TURNS, self._wait_on)
             return
         self._limit = None
@@ -204,8 +212,9 @@
 
     def _more(self) -> None:
         """One slice of a list; the next in another turn of the loop."""
-        self._timer = None
-        taking = self._taking
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer, taking = None, self._taking
         if taking is None:
             return
         try:
--- a/badgerbend/platform/config.py
+++ b/badgerbend/platform/config.py
@@ -4,14 +4,14 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from badgerbend import api
-from badgerbend.discovery.members import parse_address
+from badgerbend.discovery.members import TOLD_S, parse_address
 from badgerbend.facts import SettingError, flatten, read_settings, unfit
 from badgerbend.platform import names
 
@@ -85,7 +85,7 @@
         raise ConfigError(f"the configuration is malformed: {err}") from err
     facts = flatten(file.settings)
     try:
-        settings = read_settings(facts)
+        settings = replace(read_settings(facts), told_ms=TOLD_S * 1000.0)
     except SettingError as err:
         raise ConfigError(str(err)) from err
     limits = file.limits
--- a/tests/test_silent_agent.py
+++ b/tests/test_silent_agent.py
@@ -1,17 +1,21 @@
 """The watch on the platform's agent in a time of the test's own: what it does while discovery is silent."""
 
 import random
+from dataclasses import replace
 
 import msgspec
 import pytest
 
 from badgerbend import api
+from badgerbend.discovery import members
 from badgerbend.discovery.directory import Directory
 from badgerbend.discovery.members import MembersTarget, form
 from badgerbend.discovery.watch import Watch
+from badgerbend.logic import Aggregator
 from badgerbend.net.client import End, Reply
 from badgerbend.platform import names
 from tests.clock import Clock
+from tests.conftest import SETTINGS
 
 
 class Fallen:
@@ -19,13 +23,15 @@
     was asked while it was silent, or what waited when that began, it never answers.
 
     news: when (seconds) and what state the one server has from then on; those of a silent time it has from its end.
+    drips: from when to when its answers never end. refuses: connections while it is silent.
     late: what each turn of the broker's loop comes too late, in seconds; a connection, a question and its answer take
     `steps` of them. drops: an answer comes in so many pieces, one a turn.
     """
 
-    def __init__(self, *spans, news=(), late=0.0, steps=1, drops=1):
+    def __init__(self, *spans, news=(), late=0.0, steps=1, drops=1, drips=None, refuses=False):
         self.clock, self.spans, self.news = Clock(), spans, sorted(news)
         self.late, self.steps, self.drops = late, steps, drops
+        self.drips, self.refuses = drips, refuses
         self.asked = []
 
     # the watch's clock
@@ -49,6 +55,9 @@
             waits = 0.0
         else:
             waits = min([waits, *(self.known_at(at) - now for at, _ in self.news if self.known_at(at) > now)])
+        if any(a <= now <= b for a, b in self.spans) and self.refuses:
+            self.later(call, now + 0.001, 1, Reply(End.CONNECT_FAILED, 0, {}, b""), on_reply)
+            return call
         if any(a <= now + waits and now <= b for a, b in self.spans):
             return call
         end = now + waits
@@ -56,16 +65,19 @@
         whole = since is None
         rows = [ROW | {"state": state}] if whole or since < self.rev(end) else []
         body = msgspec.json.encode({"rev": self.rev(end), "all": whole, "targets": rows})
+        if self.drips and self.drips[0] <= end < self.drips[1]:  # a byte every 10 ms, for ever
+            self.later(call, end, 1_000_000, None, on_reply, 0.01)
+            return call
         self.later(call, end + 0.001 + self.late * self.steps, self.drops, Reply(End.ANSWER, 200, {}, body), on_reply)
         return call
 
-    def later(self, call, when, drops, reply, on_reply):
+    def later(self, call, when, drops, reply, on_reply, every=0.0):
         def piece():
             if call.off:
                 return
             call.received += 1
             if drops > 1:
-                self.later(call, self.time() + self.late, drops - 1, reply, on_reply)
+                self.later(call, self.time() + max(self.late, every), drops - 1, reply, on_reply, every)
             else:
                 on_reply(reply)
 
@@ -96,8 +108,8 @@
 ROW = {"uid": "s-1", "endpoint": "127.0.0.1:9", "az": "a", "model": "m", "pod_group": 0, "state": "up"}
 
 
-def play(agent, seconds, grace_s=0.5, asks=False, seed=1):
-    """Times and states of the one server as the module hears them."""
+def play(agent, seconds, grace_s=0.5, asks=False, seed=1, module=False):
+    """Times and states of the one server as the module hears them. module: it says when to ask."""
     directory = Directory(4, form(names.MEMBERS, ("a",), ("m",)), one_clock=True)
     heard = []
 
@@ -105,13 +117,28 @@
         if news.kind is api.ViewKind.FAILED:
             heard.append((agent.time(), "failed"))
         heard.extend((agent.time(), line.state) for line in news.lines)
+        if module:
+            agent.clock.at(agent.clock.now, lambda: step(news))
+
+    decides = Aggregator(replace(SETTINGS, list_by_asking=True, told_ms=members.TOLD_S * 1000.0), seed)
+
+    def step(*events):
+        for action in decides.step(agent.clock.now, list(events)):
+            match action:
+                case api.Follow(on):
+                    watch.follow(on)
+                case api.SetAlarm(after, token):
+                    agent.clock.at(agent.clock.now + after, lambda: step(api.Alarm(token)))
 
     watch = Watch(
         MembersTarget(names.MEMBERS, ("127.0.0.1", 1), asks, grace_s), directory, agent, lambda: agent.clock.now,
         agent.time, view, lambda what, why: None, seed, "test",
     )  # fmt: skip
     watch.pool = agent
-    watch.follow(True)
+    if module:
+        step()
+    else:
+        watch.follow(True)
     agent.clock.run(1000.0 * seconds)
     return heard, watch
 
@@ -147,6 +174,51 @@
     assert not heard and watch.failures > 3
 
 
+@pytest.mark.parametrize("grace", [0.25, 0.5, 1.0, 4.0])
+def test_an_answer_in_drops_keeps_no_drain_beyond_its_grace(grace):
+    # It was waited for while bytes came, up to three times the grace: what the agent had since was not asked for.
+    for seed in range(100):
+        rng = random.Random(seed)
+        begin = 2.0 + rng.uniform(0.0, 2.0)
+        drains = begin + rng.uniform(0.0, 2 * grace)
+        agent = Fallen(news=[(begin - 0.001, "up"), (drains, "draining")], drips=(begin, drains))
+        heard, _ = play(agent, drains + 8.0, grace, seed=seed)
+        assert min(t for t, state in heard if state == api.NodeState.DRAINING) <= drains + grace + 0.05, seed
+
+
+@pytest.mark.parametrize("grace", [0.25, 2.0])
+def test_a_list_that_is_asked_for_is_obeyed_six_seconds_after_it_could_be_reached(grace):
+    # Whatever became of the call before: the module's pauses doubled up to the time to ask in, which may be longer.
+    for seed in range(200):
+        rng = random.Random(seed)
+        down = 1.0 + rng.uniform(0.0, 3.0)
+        back = down + rng.choice([rng.uniform(0.1, 3.0), rng.uniform(3.0, 60.0)])
+        drains = rng.uniform(down, back + 4.0)
+        agent = Fallen((down, back), news=[(drains, "draining")], refuses=rng.random() < 0.5)
+        heard, watch = play(agent, back + 14.0, grace, asks=True, seed=seed, module=True)
+        told = agent.known_at(drains) + 6.0
+        assert min(t for t, state in heard if state == api.NodeState.DRAINING) <= told, (seed, down, back, drains)
+
+
+@pytest.mark.parametrize("asks", [True, False])
+def test_a_version_that_goes_back_has_the_whole_list_asked_for(asks):
+    # An agent that starts anew counts from the beginning: what it has was taken for nothing new.
+    agent = Fallen(news=[(2.0, "up"), (2.5, "up"), (4.0, "draining")])
+    agent.rev = lambda now: 1 + sum(at <= now for at, _ in agent.news) - (3 if now >= 4.0 else 0)
+    heard, watch = play(agent, 8.0, asks=asks)
+    assert min(t for t, state in heard if state == api.NodeState.DRAINING) <= 4.0 + 2.1
+
+
+def test_two_questions_are_never_out_at_once():
+    agent = Fallen()
+    _, watch = play(agent, 3.0, asks=True)
+    watch.follow(True)
+    watch._ask()  # the pause after an answer, and the module's word, in one turn
+    asked = len(agent.asked)
+    agent.clock.run(1000.0 * 1.9)
+    assert len(agent.asked) == asked
+
+
 def test_a_list_that_is_asked_for_is_asked_anew_once_its_watch_falls_silent():
     # What a silent watch misses counts as told after 6 s; the module's own wait after a failure may be longer.
     agent = Fallen((2.0, 4.5), news=[(2.1, "draining")])
@@ -168,3 +240,36 @@
     play(agent, 3.0)
     during = [at for at, _ in agent.asked if 2.05 < at < 2.45]
     assert len(during) <= 21
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_a_list_that_came_whole_is_told_to_its_end_when_discovery_moves(turns):
+    # Its slices were dropped with the call: what the old agent had told was never obeyed while the new one was silent.
+    agent, replies, heard = Fallen(), [], []
+    agent.request = lambda head, on_reply: replies.append(on_reply) or Timer()
+    directory = Directory(4, form(names.MEMBERS, ("a",), ("m",)), one_clock=True)
+    watch = Watch(
+        MembersTarget(names.MEMBERS, ("127.0.0.1", 1), False, 0.5), directory, agent, lambda: agent.clock.now,
+        agent.time, lambda view: heard.extend(view.lines), lambda what, why: None, 1, "test",
+    )  # fmt: skip
+    watch.pool = agent
+    watch._pool = lambda: agent
+
+    def tell(state):
+        rows = [ROW | {"uid": f"s-{i}", "state": state} for i in range(350)]
+        body = msgspec.json.encode({"rev": len(replies), "all": True, "targets": rows})
+        replies[-1](Reply(End.ANSWER, 200, {}, body))
+
+    watch.follow(True)
+    tell("up")
+    agent.clock.run(1000.0)
+    heard.clear()
+    tell("draining")
+    asked = len(replies)
+    for _ in range(turns):
+        watch._more()
+    watch.move(MembersTarget(names.MEMBERS, ("127.0.0.1", 2), False, 0.5))
+    assert {line.node for line in heard if line.state is api.NodeState.DRAINING} == set(range(1, 351))
+    assert watch.index is None and directory.told
+    agent.clock.run(50.0)
+    assert len(replies) == asked + 1  # the new one is asked, once
