A signal to reload during the start ends nothing and is carried out; SIGTERM then ends it at once

By reading: `run` set its handlers only after the imports, which take seconds on a tenth of a core. SIGHUP in that time ended the process, and one between the reading of the file and the handlers would have been lost. SIGTERM while the agent is still asked ends the start with status 0, before the listener opens.

--- a/badgerbend/platform/__main__.py
+++ b/badgerbend/platform/__main__.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
-import sys
+import signal
 
-from badgerbend.platform.config import ConfigError, load
-from badgerbend.platform.service import serve
+# Before all else: on a tenth of a core the imports take seconds, and a SIGHUP in them would end the process. It is
+# remembered, since the configuration may have been read before the file was replaced.
+reloads: list[int] = []
+signal.signal(signal.SIGHUP, lambda number, frame: reloads.append(number))
+
+import asyncio  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
+
+from badgerbend.platform.config import ConfigError, load  # noqa: E402
+from badgerbend.platform.service import serve  # noqa: E402
 
 
 def main() -> int:
@@ -16,7 +23,7 @@
     except ConfigError as err:
         print(f"badgerbend: {err}", file=sys.stderr)
         return 2
-    return asyncio.run(serve(config, os.environ))
+    return asyncio.run(serve(config, os.environ, lambda: bool(reloads)))
 
 
 if __name__ == "__main__":
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -196,14 +196,16 @@
     gc.set_threshold(20_000, 20, 50)
 
 
-async def serve(config: Config, env: Mapping[str, str]) -> int:
-    """Runs until told to end; the process's exit status."""
+async def serve(config: Config, env: Mapping[str, str], reload_due: Callable[[], bool] = lambda: False) -> int:
+    """Runs until told to end; the process's exit status. reload_due: whether SIGHUP came before this took it over."""
     loop = asyncio.get_running_loop()
     service = Service(config)
     end = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, end.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: service.reload(lambda: load(env)))
+    if reload_due():
+        service.reload(lambda: load(env))
     starting = loop.create_task(service.start())
     ending = loop.create_task(end.wait())
     await asyncio.wait([starting, ending], return_when=asyncio.FIRST_COMPLETED)
