The signal tests wait until a configuration's pipe was read before the next one comes

Seen once: the second file was written while the first was still open, both were read as one and the start refused it (status 2). The test's race, not the program's: it now waits until the process has closed the pipe.

--- a/tests/test_crossings_signals.py
+++ b/tests/test_crossings_signals.py
@@ -47,6 +47,11 @@
         """Once the process reads the pipe."""
         return await asyncio.to_thread(open, pipe, "wb")
 
+    def reading(self):
+        """Whether it still has its configuration open: a second file would be read as the end of the first."""
+        fds = Path(f"/proc/{self.process.pid}/fd")
+        return any(os.path.realpath(fd) == str(self.config.resolve()) for fd in fds.iterdir())
+
     async def tell(self, file):
         with await self.opened(self.config) as pipe:
             pipe.write(file)
@@ -89,6 +94,7 @@
             started.process.send_signal(signal.SIGHUP)
             config.write(file_of(old.http.address[1], listen=port))
             config.close()
+            await until(lambda: not started.reading())
             await started.tell(file_of(new.http.address[1], listen=port))  # read by the reload
             await started.until_line("reloaded")
             await started.until_line("listening")
