Random pairs of events in one turn over the real service; a reset that crosses the last answer

tests/crossing_days.py draws two events for a turn (a client asks, leaves, finishes a half request; a node answers, fails, turns away, cuts; a dial comes up; a node drains or is back; the watch is reset; discovery moves) over the real server, driver, transport and watch on loopback. The judge knows what clients sent and got and when they left, what nodes were sent, and what the agent had: no request lost, no second answer, nothing to the told-off, nothing for the gone or the answered, no repeat after its window, no value that nobody made.

Found by it at once: `write_eof` on a connection that its peer has reset raises ENOTCONN, out of `respond` (seen in the stand-in of the agent: a callback broke; in the broker a sink would have). Mended in `_Connection._linger`, with a test.

--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -302,8 +302,12 @@
         self.lingering, self.since = True, self.loop.time()
         self.server.lingering += 1
         self.ahead.clear()
-        self.transport.write_eof()
-        self._timer = self.loop.call_later(LINGER_S, self.abort)
+        try:
+            self.transport.write_eof()
+        except OSError:  # the peer reset it in this turn, and nobody has read that yet
+            self.transport.abort()
+        else:
+            self._timer = self.loop.call_later(LINGER_S, self.abort)
 
     def _parse(self, data: bytes) -> None:
         if not self.head_done:
--- /dev/null
+++ b/tests/crossing_days.py
@@ -0,0 +1,198 @@
+"""Pairs of events in one turn, drawn at random over the real service on loopback, and a judge who asks it nothing.
+
+The judge knows what each client sent, got and when it left, what each node was sent and when, and what the agent had.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import random
+import re
+from collections import defaultdict
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from tests.platform_stage import Dials, Stage, query, run
+from tests.sockets import until
+
+GRACE_S, WINDOW_S = 0.25, 0.3
+SLACK_S = 0.05  # of the rules, on sockets
+WAY_S = 0.05  # the judge's own, from a byte's leaving until it is read
+GONE_S = 0.1  # an attempt begun so long after its client left, or got its answer, is a break
+
+
+@dataclass
+class Asked:
+    writer: asyncio.StreamWriter
+    cls: bytes
+    rest: bytes = b""  # not sent yet
+    left: float | None = None
+    answered: float | None = None
+    status: int = 0
+    body: bytes = b""
+
+
+class Day:
+    def __init__(self, seed, rounds=30):
+        self.rng, self.rounds = random.Random(seed), rounds
+        self.asked, self.sent, self.held = {}, [], []
+        self.draining, self.drained_at = {}, defaultdict(list)
+        self.broken, self.readers = [], []
+
+    def play(self):
+        run(self._main)
+        return self.broken
+
+    async def _main(self):
+        self.loop, rng = asyncio.get_running_loop(), self.rng
+        settings = {
+            "categories.2.repeatWindowMs": WINDOW_S * 1000.0, "obligations.drainGraceMs": GRACE_S * 1000.0,
+            "ceilings.cancel": rng.random() < 0.5, "ceilings.secondCopies": rng.random() < 0.7,
+            "ceilings.connectTimeoutMs": rng.choice([100.0, 2000.0, 2000.0]),
+            "ceilings.streamsPerConn": rng.choice([1, 4]),
+        }  # fmt: skip
+        self.stage = stage = Stage(each=3, settings=settings, behave=self._part)
+        async with stage, Dials(lambda: stage.nodes.values()) as self.dials:
+            kinds = [self.ask, self.leave, self.finish, self.cut, self.end, self.release, self.drain, self.back]
+            kinds += [self.reset_watch, self.move]
+            for _ in range(self.rounds):
+                for _ in range(rng.choice([0, 1, 2])):
+                    await self.connect(rng.random() < 0.2)
+                for event in rng.sample(kinds, 2):  # in one turn, in this order
+                    event()
+                    for _ in range(rng.choice([0, 0, 0, 1, 3])):
+                        await asyncio.sleep(0)
+                for _ in range(rng.choice([0, 2, 4])):
+                    self.end()
+                if rng.random() < 0.15:
+                    self.release()
+                await asyncio.sleep(rng.choice([0.0, 0.003, 0.03, 0.1, 0.2]))
+            self.rng = random.Random(1)
+            await self._settle()
+        self._judge()
+
+    async def _settle(self):
+        """Everything that was begun comes to its end."""
+        while any(one.answered is None and one.left is None for one in self.asked.values()):
+            self.finish()
+            self.release()
+            self.end()
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(2 * GONE_S)
+        for one in self.asked.values():
+            one.writer.transport.abort()
+        for reader in self.readers:
+            reader.cancel()
+        await until(lambda: not self.stage.service.driver.queries and not self.stage.service.driver._out)
+        if self.stage.service.driver.module.attempts:
+            self.broken.append(("an attempt that was never made", 0.0))
+
+    # -- what happens
+    async def connect(self, half):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.stage.port)
+        cls = self.rng.choice([b"quote", b"some", b"accept", b"accept", b"accept"])
+        shards = self.rng.sample(range(18), 1 if cls == b"accept" else self.rng.choice([2, 4]))
+        name = f"c{len(self.asked)}"
+        data = self.stage.head(query(shards), cls, X_Correlation_Id=name, X_Time_Left_Ms="1500")
+        cut = self.rng.randrange(1, len(data)) if half else len(data)
+        one = self.asked[name.encode()] = Asked(writer, cls, data[cut:])
+        writer.write(data[:cut])
+        self.readers.append(self.loop.create_task(self._read(reader, one)))
+
+    async def _read(self, reader, one):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            size = int(re.search(rb"content-length: (\d+)", head)[1])
+            one.body = await reader.readexactly(size)
+            one.status = int(head[9:12])
+            if await reader.read():
+                self.broken.append(("a second answer", self.loop.time()))
+        if one.left is None and not one.status:
+            self.broken.append(("a request that was lost", self.loop.time()))
+        one.answered = self.loop.time() if one.status else None
+
+    def _open(self):
+        return [one for one in self.asked.values() if one.answered is None and one.left is None]
+
+    def ask(self):
+        self.readers.append(self.loop.create_task(self.connect(False)))
+
+    def leave(self):
+        if some := self._open():
+            one = self.rng.choice(some)
+            one.writer.transport.abort() if self.rng.random() < 0.5 else one.writer.close()
+            one.left = self.loop.time()
+
+    def finish(self):
+        for one in self._open():
+            one.writer.write(one.rest)
+            one.rest = b""
+
+    def cut(self):
+        node = self.rng.choice(list(self.stage.nodes.values()))
+        if node.connections:
+            self.rng.choice(list(node.connections)).cut()
+
+    def end(self):
+        if self.held:
+            part = self.held.pop(self.rng.randrange(len(self.held)))
+            how = self.rng.choice(["served", "served", "broke", "broke", "skipped"])
+            if how == "skipped":
+                self.sent = [row for row in self.sent if row[3] is not part]  # it never ran
+            part.connection.send(part.answer(how.encode(), part.value() if how == "served" else b""))
+
+    def release(self):
+        self.dials.release()
+
+    def drain(self):
+        uid = self.rng.choice([u for u in self.stage.nodes if int(u[1:]) >= 3])  # one of each cell stays
+        if uid not in self.draining:
+            self._put(uid, "draining")
+            self.draining[uid] = self.loop.time()
+
+    def back(self):
+        if self.draining:
+            uid = self.rng.choice(list(self.draining))
+            self.drained_at[uid].append((self.draining.pop(uid), self.loop.time()))
+            self._put(uid, "up")
+
+    def _put(self, uid, state):
+        node = self.stage.nodes[uid]
+        self.stage.agent.put(uid, node.port, node.cell, state)
+
+    def reset_watch(self):
+        for connection in list(self.stage.agent.http.connections):
+            connection.abort()
+
+    def move(self):
+        self.stage.service.reload(lambda: replace(self.stage.config))
+
+    def _part(self, part):
+        node = part.connection.node
+        uid = next(u for u, n in self.stage.nodes.items() if n is node)
+        self.sent.append((self.loop.time(), uid, part.id, part))
+        self.held.append(part)
+
+    # -- the judge
+    def _judge(self):
+        for uid, since in self.draining.items():
+            self.drained_at[uid].append((since, float("inf")))
+        first = {}
+        for at, uid, part, sent in self.sent:
+            name, _, _ = part.partition(b".")
+            one = self.asked[name]
+            for what, over in (("begun for a client that left", one.left), ("begun after the answer", one.answered)):
+                if over is not None and at > over + GONE_S + WAY_S:
+                    self.broken.append((what, round(at - over, 3)))
+            if any(since + GRACE_S + SLACK_S + WAY_S < at < until for since, until in self.drained_at[uid]):
+                self.broken.append(("sent to a node that leaves", at))
+            if one.cls == b"accept" and at > first.setdefault(part, at) + WINDOW_S + SLACK_S:
+                self.broken.append(("sent again after its window", round(at - first[part], 3)))
+            assert sent.id == part
+        for name, one in self.asked.items():
+            if one.status == 200:
+                for piece in msgspec.json.decode(one.body)["pieces"]:
+                    made = hashlib.sha256(b"%s.%d\nc41e77d0" % (name, piece["tablet"])).hexdigest()[:16]
+                    if piece["cell"] != made:
+                        self.broken.append(("an answer nobody made", name))
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -5,6 +5,7 @@
 import os
 import re
 import socket
+import struct
 
 import pytest
 
@@ -134,6 +135,21 @@
     run(main)
 
 
+def test_an_answer_that_crosses_a_reset_harms_nobody():
+    # Found by tests/crossing_days.py: shutting the write side of a connection that its peer has reset raises.
+    async def main():
+        async with Peer() as peer:
+            sock, connection = await peer.client(LAST)
+            await until(lambda: peer.held)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()  # reset, and not read yet
+            peer.answer()
+            await until(lambda: not peer.server.connections)
+            assert not peer.server.lingering
+
+    run(main)
+
+
 # -- a client that leaves while its answers are waited for
 
 
