A slow reader gets its whole last answer; what comes in one piece with the last request is not served

Also: bytes thrown away before a refusal no longer count against the lingering after it, and no 100 Continue is written then.

--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -299,7 +299,7 @@
         if self.transport is None or self.lingering:
             return
         self._pause(False)
-        self.lingering, self.since = True, self.loop.time()
+        self.lingering, self.since, self.thrown = True, self.loop.time(), 0
         self.server.lingering += 1
         self.ahead.clear()
         try:
@@ -307,7 +307,14 @@
         except OSError:  # the peer reset it in this turn, and nobody has read that yet
             self.transport.abort()
         else:
-            self._timer = self.loop.call_later(LINGER_S, self.abort)
+            self._timer = self.loop.call_later(LINGER_S, self._lingered)
+
+    def _lingered(self) -> None:
+        """A client that reads slowly still gets the rest of its answer; one that does not read is the sweep's."""
+        if self.writing():
+            self._timer = self.loop.call_later(LINGER_S, self._lingered)
+        else:
+            self.abort()
 
     def _parse(self, data: bytes) -> None:
         if not self.head_done:
@@ -359,7 +366,7 @@
         length = self.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > limits.max_body_bytes:
             raise _TooMuch(413, b"body too large")
-        if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport:
+        if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport and not self.lingering:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -369,6 +376,8 @@
         self.chunks.append(body)
 
     def on_message_complete(self) -> None:
+        if self.lingering:  # it came in one piece with the last request that is answered
+            return
         keep = self.parser.should_keep_alive()
         exchange = Exchange(self, self.parser.get_method(), self.target, self.headers, keep)
         exchange.body = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -150,6 +150,54 @@
     run(main)
 
 
+def test_a_client_that_reads_slowly_gets_the_whole_of_its_last_answer(monkeypatch):
+    monkeypatch.setattr(http, "LINGER_S", 0.02)
+
+    async def main():
+        async with Peer() as peer:
+            sock, connection = await peer.client(LAST)
+            await until(lambda: peer.held)
+            peer.answer(b"z" * 8_000_000)
+            now = asyncio.get_running_loop().time
+            began = now()
+            await until(lambda: now() > began + 0.1)  # five times the bound
+            assert len(await to_the_end(sock)) > 8_000_000
+
+    run(main)
+
+
+def test_a_request_in_one_piece_with_the_last_that_is_answered_is_not_served():
+    async def main():
+        served = []
+
+        def handle(exchange):
+            served.append(exchange.target)
+            exchange.respond(200, b"ok", b"text/plain")
+
+        async with Peer() as peer:
+            peer.server.handler, peer.server.closing = handle, True
+            sock, _ = await peer.client((GET % 1) + (GET % 2) + b"POST /3 HTTP/1.1\r\nexpect: 100-continue\r\n\r\n")
+            got = await to_the_end(sock)
+            assert got.count(b"HTTP/1.1") == 1 and served == [b"/1"]
+
+    run(main)
+
+
+def test_a_refusal_after_much_that_was_thrown_away_can_be_read():
+    async def main():
+        async with Peer() as peer:
+            sock, connection = await peer.client((GET % 0) + b"noise\r\n\r\n")
+            loop = asyncio.get_running_loop()
+            sending = loop.create_task(loop.sock_sendall(sock, b"z" * (http.LINGER_BYTES + 300_000)))
+            await until(lambda: connection.paused)
+            peer.answer()
+            got = await to_the_end(sock)
+            assert re.findall(rb"HTTP/1.1 (\d+)", got) == [b"200", b"400"]
+            await sending
+
+    run(main)
+
+
 # -- a client that leaves while its answers are waited for
 
 
