The auditor excuses what meets a broker between the word to die and its death

Cause: `_killed` excused only what was asked before the line "broker killed", which is written before the signal; a request on a kept connection in the moment until the process is dead met nobody and counted as lost by it. A living broker is held to the same as before; a test has all three times.

--- a/badgerbend/standin/day.py
+++ b/badgerbend/standin/day.py
@@ -205,6 +205,7 @@
         self.record({"k": "broker killed", "broker": index})
         process.kill()
         await process.wait()
+        self.record({"k": "broker dead", "broker": index})
         await asyncio.sleep(after_s)
         await self._start_broker(index)
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -168,3 +168,15 @@
     assert "late" in audit([ask, {**end, "t": 190.0}], facts)[0].cases[0]
     assert "no end" in audit([ask], facts)[0].cases[0]
 
+
+
+def test_what_meets_a_broker_that_is_dying_is_not_lost_by_it_and_what_comes_later_is():
+    facts = Facts(load(EXAMPLE))
+    ask = {"k": "ask", "trace": "a", "broker": 0, "left_ms": 100.0, "fields": []}
+    end = {"k": "end", "trace": "a", "how": "closed", "fields": {}}
+    for at, lost in ((5.0, False), (11.0, False), (12.5, True)):
+        lines = [
+            {**ask, "t": at}, {"k": "broker killed", "t": 10.0, "broker": 0},
+            {"k": "broker dead", "t": 12.0, "broker": 0}, {**end, "t": at + 8.0},
+        ]  # fmt: skip
+        assert bool(audit(lines, facts)[0].cases) is lost
