--- a/badgerbend/logic.py
+++ b/badgerbend/logic.py
@@ -37,7 +37,7 @@
 EVEN = 0.5  # odds below which a query is let in the more seldom the worse they are
 REFUSE_OVER_QUOTA_AT = 0.5  # sooner for a tenant beyond its quota: what it adds is worth little
 ASK_FIRST = 8.0  # a failed call to the list is repeated in an eighth of the time for asking, then twice that
-TOLD_SHARE = 1 / 3  # of the time to be told in: as much for a call that fails before, and for the answer after it
+TOLD_SHARE = 1 / 3  # of the time to be told in; as much is for the call before and the answer after
 LOST_SHARE = 0.2  # of parts sent on idle connections: more lost than this is no chance nor a few deaths
 LOST_FEW = 4.0  # and so many beyond it: six in a row
 SECOND_STEP = 1.5  # a second step has fewer and lighter parts than the first
@@ -154,7 +154,8 @@
         """A failed call is repeated after a random wait that doubles up to the time in which we must have
         asked: all brokers calling back at once kept it out of reach for most. Harm: later news afterwards."""
         if view.kind == api.ViewKind.FAILED:
-            wait = min(self.set.must_ask_ms * min(1.0, 2.0**self.unheard / ASK_FIRST), self.set.told_ms * TOLD_SHARE)
+            wait = self.set.must_ask_ms * min(1.0, 2.0**self.unheard / ASK_FIRST)
+            wait = min(wait, self.set.told_ms * TOLD_SHARE)
             self.ask_at, self.unheard = self.now + wait * self.rng.uniform(0.5, 1.0), self.unheard + 1
             return
         self.ask_at, self.unheard = (self.ask_at if view.kind == api.ViewKind.CACHED else inf), 0
