--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -281,9 +281,7 @@
     text: str
 
 
-Action = (
-    Send | Cancel | Answer | Refuse | Fail | SetAlarm | Probe | CloseIdle | Tell | Follow | ReadList | Log
-)
+Action = Send | Cancel | Answer | Refuse | Fail | SetAlarm | Probe | CloseIdle | Tell | Follow | ReadList | Log
 
 
 # -- beside the module
--- a/badgerbend/cli.py
+++ b/badgerbend/cli.py
@@ -56,9 +56,7 @@
 
 
 @app.command()
-def check(
-    config: Config, show: Annotated[bool, typer.Option(help="Print every value in force.")] = False
-) -> None:
+def check(config: Config, show: Annotated[bool, typer.Option(help="Print every value in force.")] = False) -> None:
     """Checks settings and schema without starting anything."""
     settings, graph = _read(config)
     if show:
--- a/badgerbend/config/decode.py
+++ b/badgerbend/config/decode.py
@@ -110,9 +110,7 @@
         inner = get_args(plain)[0]
         return tuple(_scalar(inner, item, file, path) for item in form.items[1:])
     if len(form.items) != 2:
-        raise SettingsError(
-            file, form.line, form.column, path, f"expected one value, found {len(form.items) - 1}"
-        )
+        raise SettingsError(file, form.line, form.column, path, f"expected one value, found {len(form.items) - 1}")
     return _scalar(kind, form.items[1], file, path)
 
 
--- a/badgerbend/discovery/directory.py
+++ b/badgerbend/discovery/directory.py
@@ -58,9 +58,7 @@
     all its fields.
     """
 
-    def __init__(
-        self, cells: int, form: Form, one_clock: bool = False, leaving: Leaving = lambda row: None
-    ) -> None:
+    def __init__(self, cells: int, form: Form, one_clock: bool = False, leaving: Leaving = lambda row: None) -> None:
         self.cells, self.form, self.one_clock, self.leaving = cells, form, one_clock, leaving
         self.known: dict[str, _Known] = {}
         self.addresses: dict[int, tuple[str, int]] = {}
--- a/badgerbend/graphql/documents.py
+++ b/badgerbend/graphql/documents.py
@@ -115,9 +115,7 @@
         except RecursionError as err:
             raise Rejected([GraphQLError("the document is nested too deep")]) from err
         operation = _operation(document, name)
-        fragments = {
-            d.name.value: d for d in document.definitions if isinstance(d, FragmentDefinitionNode)
-        }
+        fragments = {d.name.value: d for d in document.definitions if isinstance(d, FragmentDefinitionNode)}
         writer = Writer(fragments, self.limits)
         try:
             _bounded(document, fragments, self.limits)
@@ -189,9 +187,7 @@
     return found[0]
 
 
-def _bounded(
-    document: DocumentNode, fragments: dict[str, FragmentDefinitionNode], limits: Documents
-) -> None:
+def _bounded(document: DocumentNode, fragments: dict[str, FragmentDefinitionNode], limits: Documents) -> None:
     """Counts fields with fragments written out, by sums a fragment, so that doubling spreads cost nothing here."""
     sizes: dict[str, int] = {}
 
@@ -210,9 +206,7 @@
                 total += 1 + size(getattr(item, "selection_set", None), open_)
         return total
 
-    whole = sum(
-        size(d.selection_set, ()) for d in document.definitions if isinstance(d, OperationDefinitionNode)
-    )
+    whole = sum(size(d.selection_set, ()) for d in document.definitions if isinstance(d, OperationDefinitionNode))
     if whole > limits.max_fields:
         raise TooLarge(f"more than {limits.max_fields} fields, fragments written out")
 
@@ -220,9 +214,7 @@
 class _Planner:
     """Turns root fields into templates."""
 
-    def __init__(
-        self, subgraph: Subgraph, writer: Writer, operation: OperationDefinitionNode, mutation: bool
-    ) -> None:
+    def __init__(self, subgraph: Subgraph, writer: Writer, operation: OperationDefinitionNode, mutation: bool) -> None:
         self.subgraph, self.writer, self.mutation = subgraph, writer, mutation
         schema = subgraph.schema
         root = schema.mutation_type if mutation else schema.query_type
@@ -230,9 +222,7 @@
         self.root = root
         self.types = {d.variable.name.value: print_ast(d.type) for d in operation.variable_definitions or ()}
 
-    def plan(
-        self, key: str, pieces: list[tuple[FieldNode, tuple[tuple[bool, ValueNode], ...]]]
-    ) -> RootField:
+    def plan(self, key: str, pieces: list[tuple[FieldNode, tuple[tuple[bool, ValueNode], ...]]]) -> RootField:
         node, conditions = pieces[0]
         if any(c for _, c in pieces) and len(pieces) > 1:
             raise Rejected([GraphQLError(f"{key} is selected more than once, with conditions", node)])
@@ -293,9 +283,7 @@
             keys += ((RANK, is_number),)
         return Template(text, declared, self._passed(written.variables)), keys, direct
 
-    def _detail(
-        self, definition: GraphQLField, wanted: list[FieldNode]
-    ) -> tuple[Template | None, tuple[str, ...]]:
+    def _detail(self, definition: GraphQLField, wanted: list[FieldNode]) -> tuple[Template | None, tuple[str, ...]]:
         if not wanted:
             return None, ()
         row = get_named_type(definition.type)
--- a/badgerbend/graphql/fields.py
+++ b/badgerbend/graphql/fields.py
@@ -89,9 +89,7 @@
 class RowsField(FieldQuery):
     """Rows of many blocks: ranked where the settings say so, else in the order of blocks; cut to `first`."""
 
-    def __init__(
-        self, root: RootField, parts: list[PartPlan], done: Done, first: int | None, second_step: int
-    ) -> None:
+    def __init__(self, root: RootField, parts: list[PartPlan], done: Done, first: int | None, second_step: int) -> None:
         super().__init__(root, parts, done)
         self.first, self.second_step = first, second_step
         self.rows: list[dict[str, Any]] = []
--- a/badgerbend/graphql/front.py
+++ b/badgerbend/graphql/front.py
@@ -55,9 +55,7 @@
 class GraphQLFront:
     """Serves one subgraph over a driver. `now_ms` is the driver's clock."""
 
-    def __init__(
-        self, settings: Settings, subgraph: Subgraph, driver: Driver, now_ms: Callable[[], float]
-    ) -> None:
+    def __init__(self, settings: Settings, subgraph: Subgraph, driver: Driver, now_ms: Callable[[], float]) -> None:
         self.settings, self.subgraph, self.driver, self.now_ms = settings, subgraph, driver, now_ms
         self.documents = DocumentCache(subgraph, settings.documents)
         self.tenants = {t.name.encode(): i for i, t in enumerate(settings.tenant)}
--- a/badgerbend/graphql/schema.py
+++ b/badgerbend/graphql/schema.py
@@ -22,9 +22,7 @@
 
 from badgerbend.config.settings import EntityMap, FieldMap, Settings
 
-LINK = (
-    'extend schema @link(url: "https://specs.apollo.dev/federation/v2.3", import: ["@key", "@shareable"])\n'
-)
+LINK = 'extend schema @link(url: "https://specs.apollo.dev/federation/v2.3", import: ["@key", "@shareable"])\n'
 DEFINITIONS = """
 directive @link(url: String!, as: String, for: link__Purpose, import: [link__Import]) repeatable on SCHEMA
 directive @key(fields: federation__FieldSet!, resolvable: Boolean = true) repeatable on OBJECT | INTERFACE
--- a/badgerbend/membership/swim.py
+++ b/badgerbend/membership/swim.py
@@ -100,9 +100,7 @@
 class Swim:
     """One member. `take` what it wants sent and what it noticed after each call."""
 
-    def __init__(
-        self, name: str, address: Address, incarnation: int, info: str, tuning: Tuning, seed: int
-    ) -> None:
+    def __init__(self, name: str, address: Address, incarnation: int, info: str, tuning: Tuning, seed: int) -> None:
         self.name, self.address, self.incarnation, self.info = name, address, incarnation, info
         self.tuning, self.rng = tuning, random.Random(seed)
         self.members: dict[str, Member] = {}
@@ -388,5 +386,3 @@
 
     def _at(self, when: float, what: Callable[[float], None]) -> None:
         heapq.heappush(self._due, (when, next(self._order), what))
-
-
--- a/badgerbend/net/client.py
+++ b/badgerbend/net/client.py
@@ -113,9 +113,7 @@
         self.opened += 1
         try:
             async with asyncio.timeout(self.limits.connect_timeout_s):
-                _, connection = await loop.create_connection(
-                    lambda: _Connection(self, loop), self.host, self.port
-                )
+                _, connection = await loop.create_connection(lambda: _Connection(self, loop), self.host, self.port)
         except (OSError, TimeoutError):
             return None
         return connection
--- a/badgerbend/net/fetch.py
+++ b/badgerbend/net/fetch.py
@@ -12,9 +12,7 @@
 LIMITS = PoolLimits(connect_timeout_s=2.0, idle_s=60.0, max_answer_bytes=64 << 20)
 
 
-async def fetch(
-    port: int, path: str, host: str = "127.0.0.1", method: str = "GET", token: str | None = None
-) -> Any:
+async def fetch(port: int, path: str, host: str = "127.0.0.1", method: str = "GET", token: str | None = None) -> Any:
     """The JSON at a path of a broker; token: sent as a bearer. Raises ConnectionError, with what the broker said."""
     done: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
     pool = Pool(host, port, LIMITS)
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -390,9 +390,7 @@
         self.waiting.append(exchange)
 
     # -- answers
-    def write_answer(
-        self, exchange: Exchange, status: int, body: bytes, content_type: bytes, extra: Headers
-    ) -> None:
+    def write_answer(self, exchange: Exchange, status: int, body: bytes, content_type: bytes, extra: Headers) -> None:
         transport = self.transport
         if transport is None:
             return
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -180,4 +180,3 @@
 def _text(value: object) -> bytes:
     assert isinstance(value, bytes)
     return b'"%s"' % value if value.isalnum() else _encode(value.decode())
-
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -56,7 +56,11 @@
         self.transport = FrameTransport(
             names.FRAMES,
             FrameLimits(
-                config.streams, int(descriptors * FOR_NODES), connect_s, settings.conn_idle_ms / 1000.0, connect_s,
+                config.streams,
+                int(descriptors * FOR_NODES),
+                connect_s,
+                settings.conn_idle_ms / 1000.0,
+                connect_s,
                 MAX_BODY,
             ),
             lambda node: self.directory.addresses.get(node),
--- a/badgerbend/rota/service.py
+++ b/badgerbend/rota/service.py
@@ -418,4 +418,3 @@
             self.limit.cancel()
             self.call.abort()
             self.rota._found(self.server, served, (self.rota.clock() - self.began) * 1000.0)
-
--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -81,9 +81,7 @@
         left = max(plan.time_left_ms, 0.0)
         self._at(now + left, WATCH, query.id)
         self._note(
-            api.Query(
-                query.id, query.number, plan.cls, plan.tenant, plan.key, left, plan.is_retry, plan.cost_ms, parts
-            )
+            api.Query(query.id, query.number, plan.cls, plan.tenant, plan.key, left, plan.is_retry, plan.cost_ms, parts)
         )
         return query.id
 
@@ -105,9 +103,7 @@
         elif query is not None and outcome != Outcome.OK:
             query.lost.append((attempt, outcome, took))
         self.observer.attempt_ended(attempt, outcome, took)
-        self._note(
-            api.Completed(attempt.part_id, attempt.number, attempt.node, outcome, max(took, 0.0), report)
-        )
+        self._note(api.Completed(attempt.part_id, attempt.number, attempt.node, outcome, max(took, 0.0), report))
 
     def view(self, view: api.View) -> None:
         """News of the list of servers."""
--- a/badgerbend/standin/audit.py
+++ b/badgerbend/standin/audit.py
@@ -124,9 +124,7 @@
     return {f["key"]: known[by_name[f["field"]]] for f in one.ask["fields"]}
 
 
-def _duplicated(
-    asks: dict[str, Ask], parts: dict[PartKey, list[tuple[str, Line]]], facts: Facts
-) -> Finding:
+def _duplicated(asks: dict[str, Ask], parts: dict[PartKey, list[tuple[str, Line]]], facts: Facts) -> Finding:
     finding = Finding("no duplicated effect")
     for (trace, name, _, block), seen in parts.items():
         cls = _classes(asks[trace], facts).get(name) if trace in asks else None
@@ -184,9 +182,7 @@
     return finding
 
 
-def _honest(
-    asks: dict[str, Ask], parts: dict[PartKey, list[tuple[str, Line]]], facts: Facts
-) -> Finding:
+def _honest(asks: dict[str, Ask], parts: dict[PartKey, list[tuple[str, Line]]], facts: Facts) -> Finding:
     finding = Finding("honest answers")
     answered: dict[tuple[str, str], dict[int, float]] = defaultdict(dict)
     for (trace, name, kind, block), seen in parts.items():
@@ -232,9 +228,7 @@
     return ""
 
 
-def _budget(
-    asks: dict[str, Ask], parts: dict[PartKey, list[tuple[str, Line]]], facts: Facts
-) -> Finding:
+def _budget(asks: dict[str, Ask], parts: dict[PartKey, list[tuple[str, Line]]], facts: Facts) -> Finding:
     finding = Finding("attempt budget")
     rule = facts.settings.attempts
     if rule.free is None or rule.share is None or rule.window_ms is None:
--- a/badgerbend/standin/baseline.py
+++ b/badgerbend/standin/baseline.py
@@ -86,9 +86,7 @@
 
     def _sound(self, own: bool) -> float:
         held = [line for line in self.lines.values() if (line.zone in self.own) == own]
-        sound = [
-            x for x in held if x.state == api.NodeState.READY and self.ejected.get(x.node, 0.0) <= self.now
-        ]
+        sound = [x for x in held if x.state == api.NodeState.READY and self.ejected.get(x.node, 0.0) <= self.now]
         return len(sound) / len(held) if held else 0.0
 
     def takes(self, query: api.Query, over_quota: bool, fewest: int) -> bool:
--- a/badgerbend/standin/day.py
+++ b/badgerbend/standin/day.py
@@ -106,8 +106,11 @@
             "brokers_hold": {str(k): v for k, v in self.brokers_hold.items()},
             "seconds": [
                 {
-                    "offered": round(s.offered, 2), "served": round(s.served, 2), "best": round(s.best, 2),
-                    "parts": s.parts, "needed": round(s.needed, 1),
+                    "offered": round(s.offered, 2),
+                    "served": round(s.served, 2),
+                    "best": round(s.best, 2),
+                    "parts": s.parts,
+                    "needed": round(s.needed, 1),
                     "sites": {name: asdict(at) for name, at in s.sites.items()},
                     "states": [[*key, n] for key, n in sorted(s.states.items())],
                 }
--- a/badgerbend/standin/fleet.py
+++ b/badgerbend/standin/fleet.py
@@ -37,9 +37,7 @@
         model = msgspec.convert(first["model"], Model)
         servers = {}
         for i, one in enumerate(first["servers"]):
-            server = RateServer(
-                one["name"], one["cell"], one["zone"], one["blocks"], model, first["seed"] + i, record
-            )
+            server = RateServer(one["name"], one["cell"], one["zone"], one["blocks"], model, first["seed"] + i, record)
             servers[server.name] = server
             await server.start(cold=False)
         print(msgspec.json.encode({s.name: s.port for s in servers.values()}).decode(), flush=True)
--- a/badgerbend/standin/scene.py
+++ b/badgerbend/standin/scene.py
@@ -93,7 +93,6 @@
         t = self.marks[mark][0]
         return self.judged.gaps(t, t + until_s * 1000.0)[0][0]
 
-
     def as_json(self) -> dict[str, Any]:
         return {
             "rules": [{"name": f.name, "checked": f.checked, "cases": f.cases[:20]} for f in self.judged.findings],
--- a/badgerbend/standin/traffic.py
+++ b/badgerbend/standin/traffic.py
@@ -172,5 +172,3 @@
             rows = [[r["id"], r["monthly"]] for r in data[key]] if isinstance(data[key], list) else None
             out[key] = {"state": "whole" if mark["whole"] else "part", "parts": mark["parts"], "rows": rows}
     return out
-
-
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -151,9 +151,7 @@
     head = b"POST /graphql HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n"
     bodies = {}
     for block in range(SHARDS):
-        body = msgspec.json.encode(
-            {"query": PART, "variables": {"r": [{"__typename": "RateBlock", "id": str(block)}]}}
-        )
+        body = msgspec.json.encode({"query": PART, "variables": {"r": [{"__typename": "RateBlock", "id": str(block)}]}})
         bodies[block] = head % len(body) + body
 
     def handle(exchange):  # type: ignore[no-untyped-def]
--- a/benchmarks/redundancy.py
+++ b/benchmarks/redundancy.py
@@ -1,6 +1,6 @@
 """The bad day with the module's r, with r = m (`least`) and with r = k (`all`): the same seed, one after the other.
 
-    python benchmarks/redundancy.py [--rounds 3] [--report FILE] [--chart FILE.png]
+python benchmarks/redundancy.py [--rounds 3] [--report FILE] [--chart FILE.png]
 """
 
 from __future__ import annotations
--- a/benchmarks/settle.py
+++ b/benchmarks/settle.py
@@ -188,9 +188,7 @@
 
 
 def _lie(record: Record) -> Record:
-    servers = tuple(
-        Server(s.name, 1.0 if s.name in SLOW else 900.0, 0.0, False) for s in record.servers
-    )
+    servers = tuple(Server(s.name, 1.0 if s.name in SLOW else 900.0, 0.0, False) for s in record.servers)
     return msgspec.structs.replace(record, servers=servers)
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -84,10 +84,7 @@
         first = self.next_id
         self.next_id += parts + 1
         self.number += 1
-        ps = tuple(
-            api.Part(first + 1 + i, shard + i, weights[i] if weights else 1 / parts, cost)
-            for i in range(parts)
-        )
+        ps = tuple(api.Part(first + 1 + i, shard + i, weights[i] if weights else 1 / parts, cost) for i in range(parts))
         q = api.Query(first, self.number, cls, 0, 0, left, False, None, ps)
         return first, self.do(q)
 
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -62,9 +62,7 @@
         return Aggregator(replace(self.settings, broker=i), self.rng.randrange(1 << 30))
 
     def lines(self):
-        return tuple(
-            api.NodeLine(s.number, s.cell, api.NodeState.READY, s.started, 0, 0, 1.0) for s in self.servers
-        )
+        return tuple(api.NodeLine(s.number, s.cell, api.NodeState.READY, s.started, 0, 0, 1.0) for s in self.servers)
 
     def at(self, when, what):
         heapq.heappush(self.heap, (when, next(self.order), what))
--- a/tests/simsites.py
+++ b/tests/simsites.py
@@ -196,9 +196,7 @@
     def tell(self):
         """The list, to all brokers."""
         lines = tuple(
-            api.NodeLine(
-                s.node, s.cell, api.NodeState.READY if s.up else api.NodeState.GONE, s.started, s.zone, 0, 1.0
-            )
+            api.NodeLine(s.node, s.cell, api.NodeState.READY if s.up else api.NodeState.GONE, s.started, s.zone, 0, 1.0)
             for s in self.servers.values()
         )
         for broker in self.brokers:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -64,9 +64,7 @@
 
 class Hasty(Broker):
     def __init__(self, settings, graph, **more):
-        loose = tuple(
-            msgspec.structs.replace(c, need=0.25, floor=0.25) if c.need < 1 else c for c in settings.class_
-        )
+        loose = tuple(msgspec.structs.replace(c, need=0.25, floor=0.25) if c.need < 1 else c for c in settings.class_)
         super().__init__(msgspec.structs.replace(settings, class_=loose), graph, **more)
 
 
@@ -169,7 +167,6 @@
     assert "no end" in audit([ask], facts)[0].cases[0]
 
 
-
 def test_what_meets_a_broker_that_is_dying_is_not_lost_by_it_and_what_comes_later_is():
     facts = Facts(load(EXAMPLE))
     ask = {"k": "ask", "trace": "a", "broker": 0, "left_ms": 100.0, "fields": []}
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -50,8 +50,10 @@
 
 json = st.recursive(
     st.none() | st.booleans() | st.floats(allow_nan=False) | st.text(max_size=3) | st.integers(-9, 9),
-    lambda x: st.lists(x, max_size=4)
-    | st.dictionaries(st.sampled_from(["data", "g0", "_bb_rows", "id", "errors", "path", "extensions", "load"]), x),
+    lambda x: (
+        st.lists(x, max_size=4)
+        | st.dictionaries(st.sampled_from(["data", "g0", "_bb_rows", "id", "errors", "path", "extensions", "load"]), x)
+    ),
 )
 
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -298,6 +298,7 @@
     # asyncio accepted as many in one turn as the backlog holds: 1,024, whatever the descriptors.
     async def main():
         async with Peer(max_connections=10) as peer:
+
             def held():
                 return len(os.listdir("/proc/self/fd"))
 
--- a/tests/test_dealing.py
+++ b/tests/test_dealing.py
@@ -109,9 +109,7 @@
 
 def test_the_auditor_finds_a_deal_beyond_the_shares():
     def lines(pace):
-        asks = [
-            line(float(i), f"b{i}", "d", Ask(f"b{i}", DEAL, 1, (Need("s", 1.0, 1.0, 5.0, 0),))) for i in range(3)
-        ]
+        asks = [line(float(i), f"b{i}", "d", Ask(f"b{i}", DEAL, 1, (Need("s", 1.0, 1.0, 5.0, 0),))) for i in range(3)]
         return [*asks, line(10.0, "d", "b1", Dealt("d", DEAL, 4, 1, (Slice("s", 1.0, pace),)))]
 
     assert judge_deals(lines(1.0), 1000.0).cases == []
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,7 +1,5 @@
 """The list of servers: late, gone, stale, lying."""
 
-
-
 import msgspec
 import pytest
 from hypothesis import given
@@ -142,8 +140,10 @@
 
 json = st.recursive(
     st.none() | st.booleans() | st.floats(allow_nan=False) | st.text(max_size=5),
-    lambda x: st.lists(x, max_size=3)
-    | st.dictionaries(st.sampled_from(["Service", "ID", "Port", "Meta", "cell", "Checks", "Status", "Node"]), x),
+    lambda x: (
+        st.lists(x, max_size=3)
+        | st.dictionaries(st.sampled_from(["Service", "ID", "Port", "Meta", "cell", "Checks", "Status", "Node"]), x)
+    ),
 )
 
 
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -24,9 +24,7 @@
         async with Stage() as s:
             status, answer, _ = await s.client.query(QUOTE)
             assert status == 200 and "errors" not in answer
-            expected = [
-                {"id": r["id"], "m": r["monthly"], "block": b} for b in (3, 4, 5) for r in rates(b, 500.0, 24)
-            ]
+            expected = [{"id": r["id"], "m": r["monthly"], "block": b} for b in (3, 4, 5) for r in rates(b, 500.0, 24)]
             assert answer["data"]["fullQuote"] == expected
             assert answer["extensions"]["badgerbend"]["fields"]["fullQuote"] == {"whole": True, "parts": 3, "of": 3}
 
--- a/tests/test_fleetlog.py
+++ b/tests/test_fleetlog.py
@@ -11,7 +11,7 @@
 
 def log(folder, name, *lines):
     text = "".join(f"{at:.3f} {msgspec.json.encode(line).decode()}\n" for at, line in lines)
-    (folder / f"{name}.log").write_text(text + "7.9 {\"what\":\"summ")  # killed while it wrote
+    (folder / f"{name}.log").write_text(text + '7.9 {"what":"summ')  # killed while it wrote
 
 
 def summary(queries, servers, opened, nodes=2):
@@ -42,7 +42,10 @@
     assert (first["attempts/query"], first["lost %"], first["first losses"]) == ("2.3", "17.4", "1")
     assert first["handshakes/server/s"] == "1.40"  # 14 over 2 servers and 5 s
     assert (second["queries"], second["refused %"], second["lists not read"], second["first losses"]) == (
-        "2", "50", "1", "0"
+        "2",
+        "50",
+        "1",
+        "0",
     )
     assert second["handshakes/server/s"] == "0.90"
     assert "1 quote: its time is over" in done.stdout
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -103,8 +103,9 @@
 # -- records
 json = st.recursive(
     st.none() | st.booleans() | st.floats() | st.text(max_size=3) | st.integers(-(2**60), 2**60),
-    lambda x: st.lists(x, max_size=4)
-    | st.dictionaries(st.sampled_from([f for f in Record.__struct_fields__]), x, max_size=7),
+    lambda x: (
+        st.lists(x, max_size=4) | st.dictionaries(st.sampled_from([f for f in Record.__struct_fields__]), x, max_size=7)
+    ),
 )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -663,9 +663,7 @@
     path = tmp_path / "config.json"
     path.write_bytes(file)
     env = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(path)}
-    return subprocess.Popen(
-        [sys.executable, "-m", "badgerbend.platform"], cwd=ROOT, env=env, stderr=subprocess.PIPE
-    )
+    return subprocess.Popen([sys.executable, "-m", "badgerbend.platform"], cwd=ROOT, env=env, stderr=subprocess.PIPE)
 
 
 def test_a_process_that_is_told_to_end_ends_well(tmp_path):
--- a/tests/test_remote.py
+++ b/tests/test_remote.py
@@ -207,9 +207,7 @@
 
 
 def opened(stream):
-    return {
-        s.labels: [(t, struct.pack(">d", v)) for b in s.blocks for t, v in xor.decode(b.data)] for s in stream
-    }
+    return {s.labels: [(t, struct.pack(">d", v)) for b in s.blocks for t, v in xor.decode(b.data)] for s in stream}
 
 
 @given(PARTS, st.integers(1, 30))
