--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -6,8 +6,6 @@
 from dataclasses import asdict, dataclass
 from enum import StrEnum
 
-MISSING_FIT = float("nan")
-
 
 class Kind(StrEnum):
     """How a figure came about."""
