--- /dev/null
+++ b/badgerbend/feed/commands.py
@@ -0,0 +1,59 @@
+"""Commands of the agreed log that publish: a publication in parts, since an entry of the log is small."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from badgerbend.consensus.messages import MOST_COMMAND
+from badgerbend.feed.errors import Malformed, TooLarge
+from badgerbend.feed.messages import MOST_CHANGES, Number, Publication
+
+PART_BYTES = MOST_COMMAND - 60  # of a publication's bytes in one entry: the rest is the command's head
+MOST_PARTS = 400
+MOST_PUBLICATION = PART_BYTES * MOST_PARTS  # bytes of an encoded publication
+
+
+class PublishPart(msgspec.Struct, array_like=True, frozen=True, tag="publish"):
+    """One part of a publication. It takes effect with the last of `parts`, if all came in their order."""
+
+    epoch: Number
+    revision: Number
+    part: Annotated[int, msgspec.Meta(ge=0, lt=MOST_PARTS)]
+    parts: Annotated[int, msgspec.Meta(ge=1, le=MOST_PARTS)]
+    data: Annotated[bytes, msgspec.Meta(max_length=PART_BYTES)]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_part_decoder = msgspec.msgpack.Decoder(PublishPart)
+_publication_decoder = msgspec.msgpack.Decoder(Publication)
+
+
+def split(publication: Publication) -> list[bytes]:
+    """The commands that publish it, in order. Raises TooLarge."""
+    data = _encoder.encode(publication)
+    if len(data) > MOST_PUBLICATION or len(publication.changes) > MOST_CHANGES:
+        raise TooLarge(f"a publication of {len(data)} bytes; {MOST_PUBLICATION} at most")
+    pieces = [data[at : at + PART_BYTES] for at in range(0, len(data), PART_BYTES)]
+    checkpoint = publication.checkpoint
+    return [
+        _encoder.encode(PublishPart(checkpoint.epoch, checkpoint.revision, place, len(pieces), piece))
+        for place, piece in enumerate(pieces)
+    ]
+
+
+def decode_part(data: bytes) -> PublishPart | None:
+    """The part, or None where the command is another's."""
+    try:
+        return _part_decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_publication(data: bytes) -> Publication:
+    """Raises Malformed."""
+    try:
+        return _publication_decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
--- /dev/null
+++ b/badgerbend/feed/configuration.py
@@ -0,0 +1,52 @@
+"""The configuration in force in one process: checked when it comes, put in force between two turns of the loop. Pure.
+
+What has begun under a configuration ends under it: it holds its generation until it is done.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+Settings = TypeVar("Settings")
+
+
+class UnusableConfiguration(Exception):
+    """A configuration that this process cannot use; the text names the line and the field."""
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Generation(Generic[Settings]):
+    """Settings and the revision of the feed that brought them."""
+
+    revision: int
+    settings: Settings
+
+
+class ConfigurationInForce(Generic[Settings]):
+    """`read` makes settings of a configuration's bytes and raises UnusableConfiguration."""
+
+    def __init__(self, read: Callable[[bytes], Settings], first: Settings) -> None:
+        self.read = read
+        self.current = Generation(0, first)
+        self.refused: tuple[int, str] | None = None  # the last revision that was not usable, and why
+        self._next: Generation[Settings] | None = None
+
+    def offer(self, revision: int, data: bytes) -> str:
+        """Checks a configuration; what is wrong with it, or nothing. It is in force after the next `turn`."""
+        try:
+            settings = self.read(data)
+        except UnusableConfiguration as error:
+            self.refused = (revision, str(error))
+            return str(error)
+        self.refused = None
+        self._next = Generation(revision, settings)
+        return ""
+
+    def turn(self) -> bool:
+        """Between two turns of the loop: whether another generation is in force now."""
+        if self._next is None:
+            return False
+        self.current, self._next = self._next, None
+        return True
--- /dev/null
+++ b/badgerbend/feed/content.py
@@ -0,0 +1,100 @@
+"""The content of the feed at one revision, keys and values, with a digest that proves two replicas equal.
+
+Keys fall into a fixed number of buckets; the digest is the hash of the buckets' hashes, so that a change costs the
+hash of one bucket and not that of the whole.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from hashlib import blake2b
+
+from badgerbend.feed.messages import DIGEST_BYTES, Change
+
+BUCKETS = 256  # part of the protocol: both sides hash alike
+
+
+def hashed(data: bytes) -> bytes:
+    """The hash that digests are made of."""
+    return blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def bucket_of(key: str) -> int:
+    return blake2b(key.encode(), digest_size=1).digest()[0]
+
+
+EMPTY_BUCKET = hashed(b"")
+
+
+class Content:
+    """Keys and values by bucket. Changes are applied in place; `apply` gives back what undoes them."""
+
+    __slots__ = ("_buckets", "_digests", "_stale")
+
+    def __init__(self) -> None:
+        self._buckets: list[dict[str, bytes]] = [{} for _ in range(BUCKETS)]
+        self._digests = [EMPTY_BUCKET] * BUCKETS
+        self._stale = set[int]()  # buckets whose digest is to be made anew
+
+    def __len__(self) -> int:
+        return sum(map(len, self._buckets))
+
+    def get(self, key: str) -> bytes | None:
+        return self._buckets[bucket_of(key)].get(key)
+
+    def items(self) -> Iterator[tuple[str, bytes]]:
+        """All entries, bucket by bucket."""
+        for bucket in self._buckets:
+            yield from bucket.items()
+
+    def apply(self, changes: Iterable[Change]) -> tuple[Change, ...]:
+        """Applies changes in their order: of two of one key the later stands. What undoes them is returned."""
+        undo = []
+        for change in changes:
+            place = bucket_of(change.key)
+            bucket = self._buckets[place]
+            undo.append(Change(change.key, bucket.get(change.key)))
+            if change.value is None:
+                bucket.pop(change.key, None)
+            else:
+                bucket[change.key] = change.value
+            self._stale.add(place)
+        undo.reverse()
+        return tuple(undo)
+
+    def digest(self) -> bytes:
+        """Equal for equal content, whatever the way it came about."""
+        for place in self._stale:
+            self._digests[place] = self._bucket_digest(place)
+        self._stale.clear()
+        return hashed(b"".join(self._digests))
+
+    def digest_after(self, changes: Iterable[Change]) -> bytes:
+        """The digest that these changes would lead to; the content stays as it is."""
+        undo = self.apply(changes)
+        digest = self.digest()
+        self.apply(undo)
+        return digest
+
+    def copy(self) -> Content:
+        """A content of its own that shares keys and values with this one."""
+        other = Content()
+        other._buckets = [dict(bucket) for bucket in self._buckets]
+        other._digests = list(self._digests)
+        other._stale = set(self._stale)
+        return other
+
+    def changes_to(self, other: Content) -> tuple[Change, ...]:
+        """What turns this content into the other one."""
+        changes = []
+        for mine, theirs in zip(self._buckets, other._buckets, strict=True):
+            changes += [Change(key, None) for key in mine if key not in theirs]
+            changes += [Change(key, value) for key, value in theirs.items() if mine.get(key) != value]
+        return tuple(changes)
+
+    def _bucket_digest(self, place: int) -> bytes:
+        parts = []
+        for key, value in sorted(self._buckets[place].items()):
+            name = key.encode()
+            parts += [len(name).to_bytes(4, "big"), name, len(value).to_bytes(4, "big"), value]
+        return hashed(b"".join(parts))
--- /dev/null
+++ b/badgerbend/feed/framing.py
@@ -0,0 +1,45 @@
+"""Messages on a stream of bytes: length, checksum, message. A frame that is cut short or damaged is no message."""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections.abc import Iterator
+
+from badgerbend.feed.errors import Malformed
+from badgerbend.feed.messages import MOST_FRAME, Message, decode, encode
+
+HEAD = struct.Struct(">II")  # length and CRC-32 of the message's bytes
+
+
+def frame(message: Message) -> bytes:
+    """The message as it goes onto the stream."""
+    data = encode(message)
+    return HEAD.pack(len(data), zlib.crc32(data)) + data
+
+
+class FrameReader:
+    """Takes bytes as they come and gives whole messages. Once it has raised, the stream is of no more use."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """The messages that are whole by now. Raises Malformed."""
+        self._buffer += data
+        start = 0
+        try:
+            while len(self._buffer) - start >= HEAD.size:
+                length, checksum = HEAD.unpack_from(self._buffer, start)
+                if length > MOST_FRAME:
+                    raise Malformed(f"a frame of {length} bytes; {MOST_FRAME} at most")
+                end = start + HEAD.size + length
+                if len(self._buffer) < end:
+                    return
+                body = bytes(self._buffer[start + HEAD.size : end])
+                start = end
+                if zlib.crc32(body) != checksum:
+                    raise Malformed("a frame whose checksum does not fit")
+                yield decode(body)
+        finally:
+            del self._buffer[:start]
--- /dev/null
+++ b/badgerbend/feed/log.py
@@ -0,0 +1,121 @@
+"""The log of publications: the content at the last revision, and the latest publications for those a little behind.
+
+Compaction drops the oldest publications by number and by bytes; who is behind them gets a snapshot.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from badgerbend.feed.content import Content, hashed
+from badgerbend.feed.errors import DigestMismatch, OldEpoch, RevisionGap, TamperedChanges
+from badgerbend.feed.framing import frame
+from badgerbend.feed.messages import (
+    DIGEST_BYTES,
+    SIGNATURE_BYTES,
+    Change,
+    Checkpoint,
+    Publication,
+    encode_changes,
+)
+
+# Nothing was published yet: an empty content at revision 0 that nobody signed.
+ORIGIN = Checkpoint(0, 0, Content().digest(), bytes(DIGEST_BYTES), bytes(SIGNATURE_BYTES))
+
+
+@dataclass(frozen=True, slots=True)
+class Retention:
+    """How much of the past a log keeps. A follower keeps nothing; a relay enough for minutes of an outage."""
+
+    publications: int = 4096
+    bytes: int = 16 * 1024 * 1024
+
+
+NOTHING = Retention(0, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Retained:
+    """A publication as it goes to followers, encoded once for all of them."""
+
+    checkpoint: Checkpoint
+    frame: bytes
+
+
+def changes_digest(changes: tuple[Change, ...]) -> bytes:
+    """What a checkpoint says of the changes that led to it."""
+    return hashed(encode_changes(changes))
+
+
+class PublicationLog:
+    """A replica with its recent past. Whether a signature is the publisher's, others check."""
+
+    def __init__(self, retention: Retention = NOTHING) -> None:
+        self.retention = retention
+        self.content = Content()
+        self.checkpoint = ORIGIN
+        self._retained: deque[Retained] = deque()
+        self._bytes = 0
+        self._before = ORIGIN  # the checkpoint before the oldest publication retained
+
+    @property
+    def revision(self) -> int:
+        return self.checkpoint.revision
+
+    @property
+    def epoch(self) -> int:
+        return self.checkpoint.epoch
+
+    @property
+    def oldest(self) -> int:
+        """The earliest revision from which the publications retained lead on."""
+        return self._before.revision
+
+    def append(self, publication: Publication) -> None:
+        """Raises RevisionGap, OldEpoch, TamperedChanges or DigestMismatch; then nothing has changed."""
+        checkpoint = publication.checkpoint
+        if checkpoint.revision != self.revision + 1:
+            raise RevisionGap(f"revision {checkpoint.revision} after {self.revision}")
+        if checkpoint.epoch < self.epoch:
+            raise OldEpoch(f"epoch {checkpoint.epoch} after {self.epoch}")
+        if changes_digest(publication.changes) != checkpoint.changes:
+            raise TamperedChanges(f"revision {checkpoint.revision}: other changes than were signed")
+        undo = self.content.apply(publication.changes)
+        if self.content.digest() != checkpoint.content:
+            self.content.apply(undo)
+            raise DigestMismatch(f"revision {checkpoint.revision}: other content than was signed")
+        self.checkpoint = checkpoint
+        self._retain(publication)
+
+    def reset(self, content: Content, checkpoint: Checkpoint) -> None:
+        """Takes over a whole snapshot. Raises DigestMismatch; then nothing has changed."""
+        if content.digest() != checkpoint.content:
+            raise DigestMismatch(f"snapshot of revision {checkpoint.revision}: other content than was signed")
+        self.content, self.checkpoint, self._before = content, checkpoint, checkpoint
+        self._retained.clear()
+        self._bytes = 0
+
+    def next_after(self, revision: int) -> Retained | None:
+        """The publication that follows this revision, which is `oldest` or later."""
+        at = revision - self.oldest
+        return self._retained[at] if at < len(self._retained) else None
+
+    def digest_at(self, revision: int) -> bytes | None:
+        """The content's digest at a revision that is retained, None for others."""
+        if revision == self.oldest:
+            return self._before.content
+        at = revision - self.oldest - 1
+        return self._retained[at].checkpoint.content if 0 <= at < len(self._retained) else None
+
+    def _retain(self, publication: Publication) -> None:
+        if not self.retention.publications:
+            self._before = publication.checkpoint
+            return
+        retained = Retained(publication.checkpoint, frame(publication))
+        self._retained.append(retained)
+        self._bytes += len(retained.frame)
+        while len(self._retained) > self.retention.publications or self._bytes > self.retention.bytes:
+            dropped = self._retained.popleft()
+            self._bytes -= len(dropped.frame)
+            self._before = dropped.checkpoint
--- /dev/null
+++ b/badgerbend/feed/machine.py
@@ -0,0 +1,105 @@
+"""The state machine of the agreed log with the feed in it: publications beside the table of leases. Pure.
+
+A publication stands only if its epoch is that of the lease on `PUBLISH`, and if it follows the last revision: so a
+publisher that was deposed publishes nothing more, whatever of it is still on the way. Every voter decides alike.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from badgerbend.duties.table import Table
+from badgerbend.feed.commands import PublishPart, decode_part, decode_publication
+from badgerbend.feed.content import Content
+from badgerbend.feed.errors import FeedError
+from badgerbend.feed.log import PublicationLog, Retention
+from badgerbend.feed.messages import Change, Checkpoint, Publication
+
+PUBLISH = "publish"  # the duty whose holder publishes
+
+
+class _Dump(msgspec.Struct, array_like=True):
+    table: bytes
+    checkpoint: Checkpoint
+    entries: list[tuple[str, bytes]]
+    pending_epoch: int
+    pending_revision: int
+    pending: list[bytes]
+
+
+class FeedMachine:
+    """`consensus.raft.Machine`. on_change is called when the log of publications has grown or was replaced."""
+
+    def __init__(self, retention: Retention, on_change: Callable[[], None] = lambda: None) -> None:
+        self.table = Table()
+        self.log = PublicationLog(retention)
+        self.on_change = on_change
+        self.last_error: FeedError | None = None  # why the last publication that did not stand did not
+        self._pending_of = (0, 0)  # epoch and revision of the publication whose parts are coming
+        self._pending: list[bytes] = []
+
+    def apply(self, index: int, data: bytes) -> None:
+        """A command of the log."""
+        part = decode_part(data)
+        if part is None:
+            self.table.apply(index, data)
+        elif self.publishes(part.epoch):
+            self._add(part)
+
+    def publishes(self, epoch: int) -> bool:
+        """Whether this is the epoch of the lease on publishing."""
+        lease = self.table.lease(PUBLISH)
+        return bool(lease.holder) and lease.epoch == epoch
+
+    def dump(self) -> bytes:
+        epoch, revision = self._pending_of
+        state = _Dump(
+            self.table.dump(),
+            self.log.checkpoint,
+            sorted(self.log.content.items()),
+            epoch,
+            revision,
+            self._pending,
+        )
+        return msgspec.msgpack.encode(state)
+
+    def load(self, state: bytes) -> None:
+        """Raises msgspec.MsgspecError or DigestMismatch for what `dump` never wrote."""
+        found = msgspec.msgpack.decode(state, type=_Dump)
+        content = Content()
+        content.apply(Change(key, value) for key, value in found.entries)
+        self.table.load(found.table)
+        self.log.reset(content, found.checkpoint)
+        self._pending_of, self._pending = (found.pending_epoch, found.pending_revision), found.pending
+        self.on_change()
+
+    def _add(self, part: PublishPart) -> None:
+        """Puts parts together; one out of its order starts nothing and ends what had begun."""
+        which = (part.epoch, part.revision)
+        if part.part == 0:
+            self._pending_of, self._pending = which, []
+        if which != self._pending_of or part.part != len(self._pending):
+            self._pending = []
+            return
+        self._pending.append(part.data)
+        if len(self._pending) == part.parts:
+            data, self._pending = b"".join(self._pending), []
+            self._publish(part, data)
+
+    def _publish(self, part: PublishPart, data: bytes) -> None:
+        try:
+            publication = decode_publication(data)
+            self._check_head(part, publication)
+            self.log.append(publication)
+        except FeedError as error:
+            self.last_error = error
+            return
+        self.on_change()
+
+    def _check_head(self, part: PublishPart, publication: Publication) -> None:
+        """The epoch that was checked is the one that is signed."""
+        checkpoint = publication.checkpoint
+        if (checkpoint.epoch, checkpoint.revision) != (part.epoch, part.revision):
+            raise FeedError("a publication of another epoch or revision than its parts")
--- /dev/null
+++ b/badgerbend/feed/messages.py
@@ -0,0 +1,165 @@
+"""What relays and followers say to each other; typed arrays in MessagePack, bounded before they are believed."""
+
+from __future__ import annotations
+
+from typing import Annotated, TypeVar
+
+import msgspec
+
+from badgerbend.feed.errors import Malformed
+
+MOST_FRAME = 512 * 1024  # bytes of one message: a publication or a piece of a snapshot, with room
+MOST_CHANGES = 8192  # of one publication
+MOST_VALUE = 256 * 1024  # bytes of one value
+MOST_PIECE = 256 * 1024  # bytes of a snapshot's piece once it is unpacked
+MOST_LAGGARDS = 16  # followers that a summary names
+DIGEST_BYTES = 16
+SIGNATURE_BYTES = 64
+
+MessageType = TypeVar("MessageType")
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Key = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+Value = Annotated[bytes, msgspec.Meta(max_length=MOST_VALUE)]
+Number = Annotated[int, msgspec.Meta(ge=0, lt=1 << 62)]
+Digest = Annotated[bytes, msgspec.Meta(min_length=DIGEST_BYTES, max_length=DIGEST_BYTES)]
+Signature = Annotated[bytes, msgspec.Meta(min_length=SIGNATURE_BYTES, max_length=SIGNATURE_BYTES)]
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, lt=1 << 53)]
+Reason = Annotated[str, msgspec.Meta(max_length=200)]
+
+
+class Change(msgspec.Struct, array_like=True, frozen=True):
+    """One key's new value; None takes the key away."""
+
+    key: Key
+    value: Value | None
+
+
+class Checkpoint(msgspec.Struct, array_like=True, frozen=True):
+    """The content at a revision, as the publisher signed it. changes: the digest of the publication that led there."""
+
+    epoch: Number
+    revision: Number
+    content: Digest
+    changes: Digest
+    signature: Signature
+
+    def signed_bytes(self) -> bytes:
+        """What the signature is over."""
+        return signed_bytes(self.epoch, self.revision, self.content, self.changes)
+
+
+def signed_bytes(epoch: int, revision: int, content: bytes, changes: bytes) -> bytes:
+    """The text that a publisher signs: fixed length, so that no two checkpoints share one."""
+    return b"badgerbend feed 1\0" + epoch.to_bytes(8, "big") + revision.to_bytes(8, "big") + content + changes
+
+
+# -- relay to follower
+
+
+class Publication(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """A batch of changes that takes a replica from the revision before the checkpoint's to the checkpoint's."""
+
+    checkpoint: Checkpoint
+    changes: Annotated[tuple[Change, ...], msgspec.Meta(max_length=MOST_CHANGES)]
+
+
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """The relay lives. revision: what it holds; age_ms: since it last knew that nothing newer was agreed on."""
+
+    epoch: Number
+    revision: Number
+    age_ms: Milliseconds
+
+
+class SnapshotBegin(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """A whole snapshot follows, in so many pieces."""
+
+    checkpoint: Checkpoint
+    pieces: Annotated[int, msgspec.Meta(ge=0, le=65536)]
+
+
+class SnapshotPiece(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """A piece of a snapshot: entries as a MessagePack array of changes, deflated."""
+
+    index: Number
+    packed: Annotated[bytes, msgspec.Meta(max_length=MOST_FRAME)]
+
+
+# -- follower to relay
+
+
+class Hello(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """A follower begins. It holds this revision with this digest, unless it wants all of it anew."""
+
+    name: Name
+    epoch: Number
+    revision: Number
+    digest: Digest
+    wants_snapshot: bool = False
+
+
+class Status(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """What a follower has in force. refused: the newest revision whose configuration it could not use, 0 for none."""
+
+    in_force: Number
+    refused: Number
+    reason: Reason
+    age_ms: Milliseconds
+
+
+# -- relay to publisher
+
+
+class Laggard(msgspec.Struct, array_like=True, frozen=True):
+    """A follower that has not got the newest revision in force."""
+
+    name: Name
+    in_force: Number
+    refused: Number
+    reason: Reason
+
+
+class Summary(msgspec.Struct, array_like=True, frozen=True, tag=7):
+    """A relay's followers in a message of bounded size: how many have `revision` in force, and some that have not."""
+
+    relay: Name
+    revision: Number
+    followers: Number
+    in_force: Number
+    refused: Number
+    oldest: Number
+    laggards: Annotated[tuple[Laggard, ...], msgspec.Meta(max_length=MOST_LAGGARDS)]
+
+
+ToFollower = Publication | Heartbeat | SnapshotBegin | SnapshotPiece
+ToRelay = Hello | Status
+Message = Publication | Heartbeat | SnapshotBegin | SnapshotPiece | Hello | Status | Summary
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+_changes_decoder = msgspec.msgpack.Decoder(tuple[Change, ...])
+
+
+def encode(message: Message) -> bytes:
+    """The message's bytes, without a frame around them."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Raises Malformed."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
+
+
+def encode_changes(changes: tuple[Change, ...]) -> bytes:
+    return _encoder.encode(changes)
+
+
+def decode_changes(data: bytes) -> tuple[Change, ...]:
+    """Raises Malformed."""
+    try:
+        return _changes_decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
+        raise Malformed(str(err)) from err
--- /dev/null
+++ b/badgerbend/feed/publisher.py
@@ -0,0 +1,193 @@
+"""The publisher: it checks changes, batches them, signs what they lead to and has the agreed log order them. Pure.
+
+One publication is on its way at a time, since the next one's digest builds on it. One that did not come about is
+proposed again; the log takes each revision once, so that a repeat does no harm.
+
+Times are seconds on any clock that does not go backwards; it is read by the caller only.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from badgerbend.feed.commands import MOST_PUBLICATION, split
+from badgerbend.feed.log import PublicationLog, changes_digest
+from badgerbend.feed.messages import MOST_CHANGES, Change, Checkpoint, Laggard, Publication, Summary, signed_bytes
+from badgerbend.feed.signature import Signer
+
+HEAD_BYTES = 400  # of an encoded publication: all but its changes
+CHANGE_BYTES = 16  # what a change takes beside its key and value, at most
+
+
+@dataclass(frozen=True, slots=True)
+class PublisherTuning:
+    """Times in seconds."""
+
+    batch: float = 0.05  # changes that come within this go out together
+    again: float = 1.0  # a proposal that has not come about is made again
+    summary_fresh: float = 5.0  # a relay's summary counts so long
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Why a change is refused; the text names the line and the field where there are any."""
+
+    key: str
+    reason: str
+
+
+Check = Callable[[Change], str]  # what is wrong with a change, or nothing
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """How far a revision has come: followers known, those that have it in force, and some that have not."""
+
+    revision: int
+    followers: int
+    in_force: int
+    refused: int
+    laggards: tuple[Laggard, ...]
+    silent_relays: tuple[str, ...]
+
+
+class Publisher:
+    """Publishes while it holds the lease. `log` is a replica of the agreed log's publications."""
+
+    def __init__(self, log: PublicationLog, check: Check, signer: Signer, tuning: PublisherTuning) -> None:
+        self.log, self.check, self.signer, self.tuning = log, check, signer, tuning
+        self.epoch = 0  # of the lease, 0 while it is another's
+        self.proposals = 0
+        self._waiting: deque[Change] = deque()
+        self._waiting_since = math.inf
+        self._flying: Publication | None = None
+        self._again_at = math.inf
+        self._out: list[bytes] = []
+        self._summaries: dict[str, tuple[float, Summary]] = {}
+
+    # -- the lease
+    def lead(self, now: float, epoch: int) -> None:
+        """The lease was granted; the log holds all that was published before it."""
+        self.epoch, self._flying, self._again_at = epoch, None, math.inf
+        self._propose_next(now)
+
+    def rest(self) -> tuple[Change, ...]:
+        """The lease is over. Changes that are not known to be published are given back: their submitter looks at the
+        feed and submits what is missing to whoever publishes next, since a later value may stand by then."""
+        flying = self._flying.changes if self._flying is not None else ()
+        abandoned = (*flying, *self._waiting)
+        self.epoch, self._flying = 0, None
+        self._waiting.clear()
+        self._out.clear()
+        self._waiting_since = self._again_at = math.inf
+        return abandoned
+
+    # -- changes
+    def submit(self, now: float, changes: Iterable[Change]) -> tuple[Problem, ...]:
+        """Takes all of these changes, or none of them and says why."""
+        batch = tuple(changes)
+        problems = tuple(Problem(change.key, reason) for change in batch if (reason := self._wrong(change)))
+        if not problems:
+            self._waiting.extend(batch)
+            self._waiting_since = min(self._waiting_since, now)
+        return problems
+
+    def published(self, now: float) -> None:
+        """The log has grown."""
+        flying = self._flying
+        if flying is None or self.log.revision < flying.checkpoint.revision:
+            return
+        self._flying, self._again_at = None, math.inf
+        self._propose_next(now)
+
+    def tick(self, now: float) -> None:
+        """What is due by now."""
+        if self._flying is not None and now >= self._again_at:
+            self._propose(now, self._flying)
+        elif self._flying is None:
+            self._propose_next(now)
+
+    @property
+    def next_at(self) -> float:
+        """When `tick` has something to do."""
+        if not self.epoch:
+            return math.inf
+        return self._again_at if self._flying is not None else self._waiting_since + self.tuning.batch
+
+    def take(self) -> list[bytes]:
+        """Commands for the agreed log, in this order, since the last call."""
+        out, self._out = self._out, []
+        return out
+
+    # -- progress
+    def heard(self, now: float, summary: Summary) -> None:
+        """A relay's summary."""
+        self._summaries[summary.relay] = (now, summary)
+
+    def progress(self, now: float, revision: int) -> Progress:
+        """Who has this revision in force, by the relays' last summaries."""
+        fresh, silent = [], []
+        for relay, (heard_at, summary) in sorted(self._summaries.items()):
+            if now - heard_at <= self.tuning.summary_fresh:
+                fresh.append(summary)
+            else:
+                silent.append(relay)
+        return Progress(
+            revision,
+            sum(summary.followers for summary in fresh),
+            sum(_in_force(summary, revision) for summary in fresh),
+            sum(summary.refused for summary in fresh),
+            tuple(laggard for summary in fresh for laggard in summary.laggards),
+            tuple(silent),
+        )
+
+    # -- inside
+    def _wrong(self, change: Change) -> str:
+        size = _size_of(change)
+        if size + HEAD_BYTES > MOST_PUBLICATION:
+            return f"{size} bytes; {MOST_PUBLICATION - HEAD_BYTES} at most"
+        return self.check(change)
+
+    def _propose_next(self, now: float) -> None:
+        """The next batch, once its first change has waited for others or the batch is full."""
+        if not self.epoch or not self._waiting or now < self._waiting_since + self.tuning.batch:
+            return
+        changes = self._next_batch()
+        self._waiting_since = now if self._waiting else math.inf
+        content, digest = self.log.content.digest_after(changes), changes_digest(changes)
+        revision = self.log.revision + 1
+        signature = self.signer.sign(signed_bytes(self.epoch, revision, content, digest))
+        checkpoint = Checkpoint(self.epoch, revision, content, digest, signature)
+        self._flying = Publication(checkpoint, changes)
+        self._propose(now, self._flying)
+
+    def _next_batch(self) -> tuple[Change, ...]:
+        """As many changes as one publication holds, in their order."""
+        changes: list[Change] = []
+        room = MOST_PUBLICATION - HEAD_BYTES
+        while self._waiting and len(changes) < MOST_CHANGES:
+            room -= _size_of(self._waiting[0])
+            if room < 0:
+                break
+            changes.append(self._waiting.popleft())
+        return tuple(changes)
+
+    def _propose(self, now: float, publication: Publication) -> None:
+        self._again_at = now + self.tuning.again
+        self.proposals += 1
+        self._out += split(publication)
+
+
+def _size_of(change: Change) -> int:
+    """Bytes of a change, encoded; never less than it takes."""
+    return len(change.key.encode()) + len(change.value or b"") + CHANGE_BYTES
+
+
+def _in_force(summary: Summary, revision: int) -> int:
+    """Followers that surely have the revision: all of the relay's if none is older, else those at its own revision."""
+    if summary.oldest >= revision:
+        return summary.followers
+    return summary.in_force if summary.revision >= revision else 0
--- /dev/null
+++ b/tests/feed_stage.py
@@ -0,0 +1,190 @@
+"""A relay and followers joined without a network: every action is carried out at once, on a clock of the test's."""
+
+from badgerbend.duties.messages import Free, Grant, encode
+from badgerbend.feed.errors import FeedError
+from badgerbend.feed.follower import (
+    Connect,
+    Disconnect,
+    Follower,
+    FollowerTuning,
+    Install,
+    Rejected,
+    RelayAddress,
+    Send,
+)
+from badgerbend.feed.framing import FrameReader
+from badgerbend.feed.log import Retention
+from badgerbend.feed.machine import PUBLISH, FeedMachine
+from badgerbend.feed.messages import Change
+from badgerbend.feed.publisher import Publisher, PublisherTuning
+from badgerbend.feed.relay import Close, Relay, RelayTuning, SendTo
+from badgerbend.feed.signature import Ed25519Signer, Ed25519Verifier
+
+SIGNER = Ed25519Signer(bytes(range(32)))
+VERIFIER = Ed25519Verifier(SIGNER.public_key())
+RETENTION, AT_ONCE, RELAY = Retention(), PublisherTuning(batch=0.0), RelayTuning()
+ADDRESS = RelayAddress("relay-1", "north", "127.0.0.1", 1)
+
+
+def change(key, value):
+    """A change with text for its value, or none."""
+    return Change(key, None if value is None else value.encode())
+
+
+class Control:
+    """One control machine without agreement: commands are applied as they come."""
+
+    def __init__(self, retention=RETENTION, tuning=AT_ONCE, check=lambda change: ""):
+        self.machine = FeedMachine(retention)
+        self.index = 0
+        self.publisher = Publisher(self.machine.log, check, SIGNER, tuning)
+
+    def command(self, data):
+        self.index += 1
+        before = self.machine.log.revision
+        self.machine.apply(self.index, data)
+        return self.machine.log.revision > before
+
+    def grant(self, now=0.0, holder="control-1"):
+        """Gives the lease on publishing to a holder, from whoever has it; its epoch."""
+        lease = self.machine.table.lease(PUBLISH)
+        if lease.holder:
+            self.command(encode(Free(PUBLISH, lease.epoch)))
+        self.command(encode(Grant(PUBLISH, holder, lease.epoch)))
+        epoch = self.machine.table.lease(PUBLISH).epoch
+        self.publisher.lead(now, epoch)
+        return epoch
+
+    def publish(self, now, *changes):
+        """Has one batch agreed on; what was wrong with it."""
+        problems = self.publisher.submit(now, changes)
+        self.pump(now)
+        return problems
+
+    def pump(self, now):
+        while True:
+            self.publisher.tick(now)
+            commands = self.publisher.take()
+            if not commands:
+                return
+            for command in commands:
+                self.command(command)
+            self.publisher.published(now)
+
+
+class Stage:
+    """One relay and its followers. `hold`: followers whose connection takes nothing for now."""
+
+    def __init__(self, control, relay_tuning=RELAY):
+        self.now = 0.0
+        self.control = control
+        self.relay = Relay(ADDRESS.name, control.machine.log, relay_tuning)
+        self.relay.confirmed(self.now)
+        self.followers, self.installed, self.rejected, self.closed = {}, {}, {}, []
+        self.sessions, self.readers, self.numbers = {}, {}, 0
+        self.hold, self.held = set(), {}
+        self.sent_bytes = {}
+        self.damage = None  # what a lying relay makes of a frame
+
+    def follower(self, name, start=True, **tuning):
+        made = Follower(
+            name, "north", [ADDRESS], VERIFIER, FollowerTuning(start_spread=0.0, **tuning), len(self.followers)
+        )
+        self.followers[name], self.installed[name], self.rejected[name] = made, [], []
+        if start:
+            made.start(self.now)
+            self.settle()
+        return made
+
+    def settle(self):
+        """Carries actions out until there are none."""
+        busy = True
+        while busy:
+            busy = False
+            for name, follower in self.followers.items():
+                follower.tick(self.now)
+                for action in follower.take():
+                    busy = True
+                    self._follower_action(name, follower, action)
+            for action in self.relay.take():
+                busy = True
+                self._relay_action(action)
+
+    def pass_time(self, seconds, step=0.25):
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(self.now + step, end)
+            self.relay.confirmed(self.now)
+            self.relay.tick(self.now)
+            self.settle()
+
+    def publish(self, *changes):
+        problems = self.control.publish(self.now, *changes)
+        self.relay.published(self.now)
+        self.settle()
+        return problems
+
+    def disconnect(self, name):
+        """The connection breaks."""
+        number = next(n for n, who in self.sessions.items() if who == name)
+        del self.sessions[number]
+        self.relay.closed(self.now, number)
+        self.followers[name].closed(self.now, self.followers[name].attempt)
+
+    def release(self, name):
+        """The follower's connection takes what was held back."""
+        self.hold.discard(name)
+        for number, data in self.held.pop(name, []):
+            if number in self.sessions:
+                self._deliver(number, name, data)
+        self.settle()
+
+    def _follower_action(self, name, follower, action):
+        match action:
+            case Connect():
+                self.numbers += 1
+                self.sessions[self.numbers], self.readers[self.numbers] = name, FrameReader()
+                self.relay.opened(self.now, self.numbers)
+                follower.connected(self.now, action.attempt)
+            case Send():
+                number = next((n for n, who in self.sessions.items() if who == name), None)
+                if number is not None:
+                    for message in FrameReader().feed(action.frame):
+                        self.relay.received(self.now, number, message)
+            case Disconnect():
+                for number in [n for n, who in self.sessions.items() if who == name]:
+                    del self.sessions[number]
+                    self.relay.closed(self.now, number)
+            case Install():
+                self.installed[name].append(action)
+                follower.applied(self.now, action.revision)
+            case Rejected():
+                self.rejected[name].append(action.error)
+
+    def _relay_action(self, action):
+        name = self.sessions.get(action.session)
+        if name is None:
+            return
+        match action:
+            case SendTo():
+                self.sent_bytes[name] = self.sent_bytes.get(name, 0) + len(action.frame)
+                if name in self.hold:
+                    self.held.setdefault(name, []).append((action.session, action.frame))
+                else:
+                    self._deliver(action.session, name, action.frame)
+            case Close():
+                self.closed.append((name, action.reason))
+                del self.sessions[action.session]
+                self.followers[name].closed(self.now, self.followers[name].attempt)
+
+    def _deliver(self, number, name, data):
+        follower = self.followers[name]
+        attempt = follower.attempt
+        if self.damage is not None:
+            data = self.damage(data)
+        try:
+            for message in self.readers[number].feed(data):
+                follower.received(self.now, attempt, message)
+        except FeedError as error:
+            follower.unusable(self.now, attempt, error)
+        self.relay.drained(self.now, number)
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,648 @@
+"""The feed's pure cores: what is published, what a follower takes and refuses, what a relay holds back."""
+
+import zlib
+
+import pytest
+
+from badgerbend.feed.commands import split
+from badgerbend.feed.configuration import ConfigurationInForce, UnusableConfiguration
+from badgerbend.feed.content import Content
+from badgerbend.feed.errors import (
+    BadSignature,
+    DigestMismatch,
+    Malformed,
+    NoProgress,
+    OldEpoch,
+    OutOfSequence,
+    RevisionGap,
+    TamperedChanges,
+)
+from badgerbend.feed.follower import Connect, Disconnect, Follower, FollowerTuning, RelayAddress
+from badgerbend.feed.framing import HEAD, FrameReader, frame
+from badgerbend.feed.log import PublicationLog, Retention, changes_digest
+from badgerbend.feed.machine import PUBLISH, FeedMachine
+from badgerbend.feed.messages import (
+    Change,
+    Checkpoint,
+    Heartbeat,
+    Publication,
+    SnapshotBegin,
+    SnapshotPiece,
+    signed_bytes,
+)
+from badgerbend.feed.publisher import PublisherTuning
+from badgerbend.feed.relay import RelayTuning
+from badgerbend.feed.snapshot import SnapshotAssembly
+from tests.feed_stage import ADDRESS, SIGNER, VERIFIER, Control, Stage, change
+
+MANY = 3000
+DEFAULT_RETENTION = Retention()
+
+
+def stage(**tuning):
+    control = Control()
+    control.grant()
+    return Stage(control, RelayTuning(**tuning))
+
+
+def full_stage(retention=DEFAULT_RETENTION, **tuning):
+    """A stage whose feed holds a list of many nodes."""
+    control = Control(retention)
+    control.grant()
+    rows = [change(f"node/{i}", f"ready at 10.0.{i // 256}.{i % 256}:80 " + "x" * 40) for i in range(MANY)]
+    made = Stage(control, RelayTuning(**tuning))
+    made.publish(*rows[: MANY // 2])
+    made.publish(*rows[MANY // 2 :])
+    return made
+
+
+def signed(log, epoch, *changes, revision=None):
+    """A publication as the publisher would make it on top of a log."""
+    revision = log.revision + 1 if revision is None else revision
+    content, digest = log.content.digest_after(changes), changes_digest(changes)
+    signature = SIGNER.sign(signed_bytes(epoch, revision, content, digest))
+    return Publication(Checkpoint(epoch, revision, content, digest, signature), changes)
+
+
+def entries(log):
+    return dict(log.content.items())
+
+
+# -- content and its digest
+
+
+def test_equal_content_has_equal_digests_whatever_the_way():
+    one, other = Content(), Content()
+    one.apply([change("a", "1"), change("b", "2"), change("a", "3")])
+    other.apply([change("c", "9"), change("b", "2"), change("a", "3"), change("c", None)])
+    assert one.digest() == other.digest()
+    other.apply([change("b", "20")])
+    assert one.digest() != other.digest()
+
+
+def test_keys_and_values_do_not_run_into_each_other():
+    one, other = Content(), Content()
+    one.apply([change("ab", "c")])
+    other.apply([change("a", "bc")])
+    assert one.digest() != other.digest()
+
+
+def test_changes_are_undone_in_reverse_order():
+    content = Content()
+    content.apply([change("a", "1")])
+    before = content.digest()
+    undo = content.apply([change("a", "2"), change("a", None), change("b", "1"), change("a", "3")])
+    content.apply(undo)
+    assert content.digest() == before and dict(content.items()) == {"a": b"1"}
+
+
+def test_the_difference_between_contents_leads_from_one_to_the_other():
+    one, other = Content(), Content()
+    one.apply([change("a", "1"), change("b", "2")])
+    other.apply([change("b", "3"), change("c", "4")])
+    one.apply(one.changes_to(other))
+    assert one.digest() == other.digest() and dict(one.items()) == dict(other.items())
+
+
+# -- frames
+
+
+def test_frames_come_out_whole_however_they_are_cut():
+    messages = [Heartbeat(1, n, 3) for n in range(5)]
+    data = b"".join(frame(message) for message in messages)
+    reader = FrameReader()
+    found = [message for at in range(len(data)) for message in reader.feed(data[at : at + 1])]
+    assert found == messages
+
+
+@pytest.mark.parametrize("damage", ["checksum", "length", "type"])
+def test_a_damaged_frame_is_refused(damage):
+    data = bytearray(frame(Heartbeat(1, 2, 3)))
+    if damage == "checksum":
+        data[-1] ^= 1
+    elif damage == "length":
+        data[0] = 255
+    else:
+        body = b"\x91\x63"
+        data = bytearray(HEAD.pack(len(body), zlib.crc32(body)) + body)
+    with pytest.raises(Malformed):
+        list(FrameReader().feed(bytes(data)))
+
+
+def test_a_piece_that_unpacks_to_too_much_is_refused():
+    begin = SnapshotBegin(PublicationLog().checkpoint, 1)
+    with pytest.raises(Malformed):
+        SnapshotAssembly(begin).add(SnapshotPiece(0, zlib.compress(bytes(4 * 1024 * 1024))))
+
+
+# -- the log
+
+
+def test_the_log_takes_only_what_follows():
+    log = PublicationLog(Retention())
+    log.append(signed(log, 5, change("a", "1")))
+    with pytest.raises(RevisionGap):
+        log.append(signed(log, 5, change("a", "2"), revision=3))
+    with pytest.raises(OldEpoch):
+        log.append(signed(log, 4, change("a", "2")))
+    good = signed(log, 5, change("a", "2"))
+    with pytest.raises(TamperedChanges):
+        log.append(Publication(good.checkpoint, (change("a", "other"),)))
+    log.content.apply([change("b", "not published")])
+    with pytest.raises(DigestMismatch):
+        log.append(good)
+    assert log.revision == 1 and entries(log) == {"a": b"1", "b": b"not published"}
+
+
+def test_compaction_keeps_as_many_publications_as_it_may():
+    log = PublicationLog(Retention(publications=3))
+    for value in range(10):
+        log.append(signed(log, 1, change("a", str(value))))
+    assert log.oldest == 7
+    assert [log.next_after(revision).checkpoint.revision for revision in (7, 8, 9)] == [8, 9, 10]
+    assert log.next_after(10) is None
+    assert log.digest_at(6) is None and log.digest_at(7) is not None
+    assert log.digest_at(10) == log.content.digest()
+
+
+def test_compaction_by_bytes():
+    log = PublicationLog(Retention(bytes=2000))
+    for value in range(10):
+        log.append(signed(log, 1, change("a", str(value) * 500)))
+    assert 0 < log.revision - log.oldest <= 3
+
+
+# -- the agreed log
+
+
+def test_a_publication_needs_the_lease():
+    control = Control()
+    publication = signed(control.machine.log, 1, change("a", "1"))
+    assert not any(control.command(part) for part in split(publication))
+    epoch = control.grant()
+    assert [control.command(part) for part in split(signed(control.machine.log, epoch, change("a", "1")))] == [True]
+
+
+def test_a_publisher_with_an_old_epoch_publishes_nothing():
+    control = Control()
+    old = control.grant()
+    late = split(signed(control.machine.log, old, change("a", "late")))
+    new = control.grant(holder="control-2")
+    assert new > old
+    assert not any(control.command(part) for part in late)
+    assert control.publish(0.0, change("a", "new")) == ()
+    assert entries(control.machine.log) == {"a": b"new"} and control.machine.log.epoch == new
+
+
+def test_a_large_publication_comes_in_parts_and_a_lost_part_leaves_nothing():
+    control = Control()
+    epoch = control.grant()
+    parts = split(signed(control.machine.log, epoch, change("a", "x" * 5000)))
+    assert len(parts) > 5
+    for part in parts[:2] + parts[3:]:
+        assert not control.command(part)
+    assert control.machine.log.revision == 0
+    for part in parts:
+        control.command(part)
+    assert control.machine.log.revision == 1
+
+
+def test_the_deposed_publishers_half_does_not_mix_with_the_new_ones():
+    control = Control()
+    old = control.grant()
+    half = split(signed(control.machine.log, old, change("a", "x" * 3000)))
+    control.command(half[0])
+    new = control.grant(holder="control-2")
+    parts = split(signed(control.machine.log, new, change("a", "y" * 3000)))
+    taken = [control.command(part) for part in (parts[0], half[1], *parts[1:], *half[1:])]
+    assert sum(taken) == 1 and entries(control.machine.log) == {"a": b"y" * 3000}
+
+
+def test_the_machines_state_survives_dump_and_load_in_the_middle_of_a_publication():
+    control = Control()
+    epoch = control.grant()
+    control.publish(0.0, change("a", "1"))
+    parts = split(signed(control.machine.log, epoch, change("b", "x" * 3000)))
+    for part in parts[:-1]:
+        control.command(part)
+    called = []
+    copy = FeedMachine(Retention(), lambda: called.append(True))
+    copy.load(control.machine.dump())
+    assert called and copy.dump() == control.machine.dump()
+    copy.apply(99, parts[-1])
+    control.command(parts[-1])
+    assert copy.dump() == control.machine.dump() and copy.log.revision == 2
+    assert copy.table.lease(PUBLISH).epoch == epoch
+
+
+def test_a_repeated_proposal_publishes_once():
+    control = Control()
+    epoch = control.grant()
+    parts = split(signed(control.machine.log, epoch, change("a", "1")))
+    assert [control.command(part) for part in parts * 3] == [True, False, False]
+
+
+# -- the publisher
+
+
+def test_a_bad_change_is_refused_with_its_whole_batch():
+    control = Control(check=lambda change: "line 3: field `wait` is no number" if change.value == b"bad" else "")
+    control.grant()
+    problems = control.publish(0.0, change("configuration/a", "bad"), change("b", "1"))
+    assert [(p.key, p.reason) for p in problems] == [("configuration/a", "line 3: field `wait` is no number")]
+    assert control.machine.log.revision == 0
+
+
+def test_a_change_larger_than_a_publication_is_refused():
+    control = Control()
+    control.grant()
+    (problem,) = control.publish(0.0, Change("a", bytes(400_000)))
+    assert "at most" in problem.reason
+
+
+def test_changes_within_a_batch_go_out_together_and_the_later_one_stands():
+    control = Control(tuning=PublisherTuning(batch=0.05))
+    control.grant()
+    control.publish(0.0, change("a", "1"))
+    control.publish(0.04, change("a", "2"), change("b", "1"))
+    assert control.machine.log.revision == 0
+    control.pump(0.06)
+    assert control.machine.log.revision == 1
+    assert entries(control.machine.log) == {"a": b"2", "b": b"1"}
+
+
+def test_a_lost_proposal_is_made_again():
+    control = Control()
+    control.grant()
+    control.publisher.submit(0.0, [change("a", "1")])
+    control.publisher.tick(0.0)
+    assert control.publisher.take()  # and lost
+    control.pump(0.5)
+    assert control.machine.log.revision == 0
+    control.pump(1.1)
+    assert control.machine.log.revision == 1
+
+
+def test_a_deposed_publisher_gives_back_what_it_did_not_publish():
+    control = Control()
+    control.grant()
+    control.publisher.submit(0.0, [change("a", "1")])
+    control.publisher.tick(0.0)
+    control.publisher.submit(0.0, [change("b", "2")])
+    assert control.publisher.rest() == (change("a", "1"), change("b", "2"))
+    control.publisher.tick(5.0)
+    assert len(control.publisher.take()) == 0
+
+
+def test_more_than_one_publication_of_changes_goes_out_one_after_the_other():
+    made = full_stage()
+    assert made.control.machine.log.revision >= 2
+    assert len(made.control.machine.log.content) == MANY
+
+
+# -- follower and relay
+
+
+def test_a_new_follower_gets_the_content_and_then_each_change():
+    made = full_stage(retention=Retention(publications=1))
+    follower = made.follower("a")
+    assert follower.log.content.digest() == made.relay.log.content.digest()
+    assert len(made.installed["a"]) == 1 and len(made.installed["a"][0].changes) == MANY
+    made.publish(change("node/7", None))
+    assert made.installed["a"][1].changes == (change("node/7", None),)
+    assert follower.log.checkpoint == made.relay.log.checkpoint
+    assert made.relay.snapshots_begun == 1
+
+
+def test_a_follower_resumes_from_its_revision_without_a_snapshot():
+    made = full_stage()
+    follower = made.follower("a")
+    begun, sent = made.relay.snapshots_begun, made.sent_bytes["a"]
+    made.disconnect("a")
+    for value in range(300):
+        made.publish(change("configuration/a", str(value)))
+    made.pass_time(2.0)
+    assert follower.log.checkpoint == made.relay.log.checkpoint
+    assert made.relay.snapshots_begun == begun
+    assert [i.revision for i in made.installed["a"]][-300:] == list(
+        range(made.relay.log.revision - 299, made.relay.log.revision + 1)
+    )
+    assert made.sent_bytes["a"] - sent < 300 * 400
+
+
+def test_a_follower_behind_the_compaction_gets_a_snapshot():
+    made = full_stage(retention=Retention(publications=10))
+    follower = made.follower("a")
+    made.disconnect("a")
+    begun = made.relay.snapshots_begun
+    for value in range(50):
+        made.publish(change("configuration/a", str(value)))
+    made.pass_time(2.0)
+    assert follower.log.checkpoint == made.relay.log.checkpoint
+    assert made.relay.snapshots_begun == begun + 1
+    assert made.installed["a"][-1].changes == (change("configuration/a", "49"),)
+
+
+def test_a_drain_wins_over_a_snapshot_of_earlier_content():
+    made = full_stage(retention=Retention(publications=100), window=60_000)
+    made.hold.add("a")
+    follower = made.follower("a")
+    made.publish(change("node/5", "draining"))
+    assert follower.log.revision == 0
+    made.release("a")
+    assert follower.log.content.get("node/5") == b"draining"
+    made.publish(change("node/6", "draining"))
+    assert follower.log.checkpoint == made.relay.log.checkpoint
+
+
+def test_two_changes_of_one_key_in_one_batch():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("node/1", "ready"), change("node/1", "draining"))
+    made.publish(change("node/2", "ready"), change("node/2", None))
+    assert entries(follower.log) == {"node/1": b"draining"}
+    assert follower.log.checkpoint == made.relay.log.checkpoint
+
+
+@pytest.mark.parametrize("lie", ["changes", "checkpoint", "frame"])
+def test_a_relay_that_lies_is_left_and_changes_nothing(lie):
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("node/1", "ready"))
+    before = entries(follower.log)
+    reader = FrameReader()
+
+    def damage(data):
+        (message,) = reader.feed(data)
+        if not isinstance(message, Publication):
+            return data
+        if lie == "changes":
+            return frame(Publication(message.checkpoint, (change("node/1", "gone"),)))
+        if lie == "checkpoint":
+            forged = signed(PublicationLog(), 1, change("node/1", "gone")).checkpoint
+            c = message.checkpoint
+            return frame(
+                Publication(Checkpoint(c.epoch, c.revision, forged.content, c.changes, c.signature), message.changes)
+            )
+        return data[:-1] + bytes([data[-1] ^ 1])
+
+    made.damage = damage
+    made.publish(change("node/1", "draining"))
+    expected = {"changes": TamperedChanges, "checkpoint": BadSignature, "frame": Malformed}[lie]
+    assert [type(error) for error in made.rejected["a"]] == [expected]
+    assert entries(follower.log) == before and follower.log.revision == 1
+    made.damage = None
+    made.pass_time(1.0)
+    assert entries(follower.log) == {"node/1": b"draining"}  # it was the only relay there is
+
+
+def test_half_a_frame_and_silence_is_left_for_another_try():
+    made = stage()
+    follower = made.follower("a", behind_most=2.0)
+    made.damage = lambda data: data[: len(data) // 2]
+    made.publish(change("node/1", "ready"))
+    made.damage = lambda data: b""
+    made.pass_time(4.5)
+    made.damage = None
+    made.pass_time(8.0)
+    assert follower.log.checkpoint == made.relay.log.checkpoint
+    assert follower.attempt > 1
+
+
+def test_a_replica_that_was_damaged_is_replaced_by_a_snapshot():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("node/1", "ready"), change("node/2", "ready"))
+    follower.log.content.apply([change("node/1", "flipped")])
+    made.publish(change("node/3", "ready"))
+    assert [type(error) for error in made.rejected["a"]] == [DigestMismatch]
+    made.pass_time(1.0)
+    assert follower.log.checkpoint == made.relay.log.checkpoint
+    assert follower.log.content.digest() == made.relay.log.content.digest()
+    assert made.relay.snapshots_begun == 1
+
+
+def test_a_revision_that_goes_back_is_not_followed():
+    made = stage()
+    follower = made.follower("a")
+    for value in range(5):
+        made.publish(change("a", str(value)))
+    restored = Control()
+    epoch = restored.grant()
+    while epoch <= made.control.machine.log.epoch:
+        epoch = restored.grant()
+    made.disconnect("a")
+    made.control, made.relay.log = restored, restored.machine.log
+    made.publish(change("a", "of a backup"))
+    made.pass_time(2.0)
+    assert follower.log.revision == 5 and entries(follower.log) == {"a": b"4"}
+    assert follower.age_s(made.now) >= 2.0  # what this relay holds says nothing of the replica
+    for value in range(5):
+        made.publish(change("a", f"anew {value}"))
+    made.pass_time(2.0)
+    assert follower.log.checkpoint == restored.machine.log.checkpoint
+    # the new publisher's revision 5 replaces that of the old one, which nobody publishes any more
+    assert [i.revision for i in made.installed["a"]] == [1, 2, 3, 4, 5, 5, 6]
+    assert follower.age_s(made.now) <= 1.0
+
+
+def test_a_snapshot_out_of_place_is_refused():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("a", "1"))
+    follower.received(made.now, follower.attempt, SnapshotPiece(0, b""))
+    made.settle()
+    assert [type(error) for error in made.rejected["a"]] == [OutOfSequence]
+
+
+def test_a_relay_that_announces_and_does_not_send_is_left():
+    made = stage()
+    follower = made.follower("a", behind_most=5.0)
+    reader = FrameReader()
+
+    def withhold(data):
+        (message,) = reader.feed(data)
+        return b"" if isinstance(message, Publication) else data
+
+    made.damage = withhold
+    made.publish(change("a", "1"))
+    made.pass_time(8.0)
+    assert [type(error) for error in made.rejected["a"]] == [NoProgress]
+    assert follower.log.revision == 0
+
+
+def test_the_age_grows_while_nothing_is_confirmed():
+    made = stage()
+    follower = made.follower("a")
+    made.pass_time(2.0)
+    assert follower.age_s(made.now) <= 1.0
+    for _ in range(20):  # the relay beats on but hears of no leader
+        made.now += 0.5
+        made.relay.tick(made.now)
+        made.settle()
+    assert 9.0 <= follower.age_s(made.now) <= 12.0
+
+
+# -- backpressure and pacing
+
+
+def test_a_follower_that_takes_nothing_holds_a_window_at_most_and_is_cut():
+    made = stage(window=10_000, stalled=3.0)
+    made.follower("slow", silence=20.0)
+    fast = made.follower("fast")
+    made.hold.add("slow")
+    for value in range(100):
+        made.publish(change("a", str(value) * 500))
+    held = sum(len(data) for _, data in made.held["slow"])
+    assert held < 10_000 + 3_000
+    assert fast.log.checkpoint == made.relay.log.checkpoint
+    made.pass_time(5.0)
+    assert ("slow", "takes nothing") in made.closed
+    made.release("slow")
+    made.pass_time(3.0)
+    assert made.followers["slow"].log.checkpoint == made.relay.log.checkpoint
+
+
+def test_a_follower_that_is_slow_gets_all_in_order():
+    made = stage(window=2_000)
+    slow = made.follower("slow")
+    made.hold.add("slow")
+    for value in range(40):
+        made.publish(change("a", str(value) * 100))
+    made.release("slow")
+    assert [i.revision for i in made.installed["slow"]] == list(range(1, 41))
+    assert slow.log.checkpoint == made.relay.log.checkpoint
+
+
+def test_snapshots_are_packed_once_and_paced_in_number():
+    made = full_stage(retention=Retention(publications=1), snapshots_at_once=3)
+    images = set()
+    for number in range(10):
+        made.hold.add(f"f{number}")
+        made.follower(f"f{number}")
+    images = {id(s.image) for s in made.relay.sessions.values() if s.image is not None}
+    assert made.relay.snapshots_begun <= 3 + sum(s.image is None for s in made.relay.sessions.values())
+    assert len(images) <= 1
+    for number in range(10):
+        made.release(f"f{number}")
+    made.pass_time(1.0)
+    assert all(f.log.checkpoint == made.relay.log.checkpoint for f in made.followers.values())
+
+
+def test_snapshots_are_paced_in_bytes():
+    made = full_stage(retention=Retention(publications=1), snapshot_bytes_per_second=20_000, snapshot_burst=10_000)
+    for number in range(8):
+        made.follower(f"f{number}")
+    first = sum(made.sent_bytes.values())
+    made.pass_time(1.0)
+    second = sum(made.sent_bytes.values())
+    whole = sum(len(made.relay._image_now().piece(i)) for i in range(made.relay._image_now().pieces))
+    assert first <= 10_000 + whole + 2_000
+    assert second - first <= 20_000 + whole + 2_000
+    made.pass_time(8 * whole / 20_000 + 2.0)
+    assert all(f.log.checkpoint == made.relay.log.checkpoint for f in made.followers.values())
+
+
+def test_a_connection_that_does_not_say_who_it_is_ends():
+    made = stage(hello_within=2.0)
+    made.relay.opened(0.0, 99)
+    made.sessions[99] = "nobody"
+    made.follower("nobody", start=False)
+    made.pass_time(4.0)
+    assert ("nobody", "no hello") in made.closed
+
+
+# -- summaries
+
+
+def test_the_publisher_knows_who_has_a_revision_in_force_and_who_lags():
+    made = stage()
+    for number in range(30):
+        made.follower(f"f{number}")
+    made.publish(change("a", "1"))
+    made.pass_time(1.5)
+    publisher = made.control.publisher
+    publisher.heard(made.now, made.relay.summary())
+    progress = publisher.progress(made.now, 1)
+    assert (progress.followers, progress.in_force, progress.laggards) == (30, 30, ())
+    for number in range(20):
+        made.hold.add(f"f{number}")
+    made.publish(change("a", "2"))
+    made.followers["f25"].refused(made.now, 2, "line 4: field `port`")
+    made.pass_time(1.5)
+    publisher.heard(made.now, made.relay.summary())
+    progress = publisher.progress(made.now, 2)
+    assert (progress.followers, progress.in_force, progress.refused) == (30, 10, 1)
+    assert len(progress.laggards) == 16 and {laggard.in_force for laggard in progress.laggards} == {1}
+    assert publisher.progress(made.now + 60.0, 2).silent_relays == ("relay-1",)
+
+
+def test_a_summary_has_a_bounded_size():
+    made = stage()
+    for number in range(200):
+        made.follower("f" * 50 + str(number)).refused(0.0, 1, "x" * 500)
+    made.pass_time(2.0)
+    assert len(frame(made.relay.summary())) < 8_000
+
+
+# -- the configuration in force
+
+
+def test_a_configuration_is_in_force_from_the_next_turn_and_what_began_ends_under_its_own():
+    def read(data):
+        if data == b"bad":
+            raise UnusableConfiguration("line 2: field `wait`")
+        return data.decode()
+
+    held = ConfigurationInForce(read, "first")
+    began_under = held.current
+    assert held.offer(4, b"second") == ""
+    assert held.current.settings == "first"
+    assert held.turn() and not held.turn()
+    assert (held.current.revision, held.current.settings) == (4, "second")
+    assert began_under.settings == "first"
+    assert held.offer(5, b"bad") == "line 2: field `wait`"
+    assert not held.turn() and held.current.revision == 4 and held.refused == (5, "line 2: field `wait`")
+
+
+# -- the choice of relays
+
+
+def test_a_follower_prefers_its_region_and_comes_home():
+    relays = [RelayAddress(f"r{n}", region, "127.0.0.1", n) for n, region in enumerate(["south", "north", "east"], 1)]
+    follower = Follower("a", "north", relays, VERIFIER, FollowerTuning(start_spread=0.0, home_after=60.0), 1)
+    follower.start(0.0)
+    follower.tick(0.0)
+    (first,) = follower.take()
+    assert isinstance(first, Connect) and first.relay.region == "north"
+    follower.closed(0.0, first.attempt)
+    follower.tick(1.0)
+    (second,) = follower.take()
+    assert isinstance(second, Connect) and second.relay.region != "north"
+    follower.connected(1.0, second.attempt)
+    follower.take()
+    for second_ in range(1, 61):
+        follower.received(1.0 + second_, second.attempt, Heartbeat(0, 0, 0))
+        follower.tick(1.0 + second_)
+    actions = [action for action in follower.take() if isinstance(action, Connect | Disconnect)]
+    assert isinstance(actions[0], Disconnect)
+    follower.tick(62.0)
+    actions += [action for action in follower.take() if isinstance(action, Connect)]
+    assert actions[-1].relay.region == "north"
+
+
+def test_failed_attempts_back_off_with_jitter():
+    pauses = []
+    for seed in range(40):
+        follower = Follower("a", "north", [ADDRESS], VERIFIER, FollowerTuning(start_spread=0.0), seed)
+        follower.start(0.0)
+        now = 0.0
+        for _ in range(12):
+            now = follower.next_at
+            follower.tick(now)
+            (connect,) = [a for a in follower.take() if isinstance(a, Connect)]
+            follower.closed(now, connect.attempt)
+            pauses.append(follower.next_at - now)
+    last = pauses[11::12]
+    assert max(last) <= 10.0 and max(last) > 8.0 and min(last) < 2.0
+    assert max(pauses[0::12]) <= 0.1
