The feed over TCP: a relay's listening socket, a follower's connection

Cause: the cores of badgerbend/feed have no sockets; the mechanism is to be shown between processes.

Change: badgerbend/feednet: messages over one connection (stream), a relay's server that tells its core when a connection has taken what was written, a follower's client that puts changes in force between two turns of its loop, and one moving wake-up for both. The backlog is 4,096, since a zone's followers return at once.

--- a/badgerbend/feed/follower.py
+++ b/badgerbend/feed/follower.py
@@ -208,7 +208,7 @@
 
     def refused(self, now: float, revision: int, reason: str) -> None:
         """The owner could not use the configuration of this revision; what was in force stays."""
-        self.refused_revision, self.refused_reason = revision, reason[:MOST_REASON]
+        self.refused_revision, self.refused_reason = revision, reason
         self._status_due(now)
 
     def accepted(self, now: float) -> None:
@@ -227,7 +227,7 @@
         if now >= self._status_at:
             self._status_at = now + self.tuning.status_idle
             self._status_prompt = False
-            self._send(Status(self.in_force, self.refused_revision, self.refused_reason, self._age_ms(now)))
+            self._send(self._status(now))
 
     @property
     def next_at(self) -> float:
@@ -366,6 +366,9 @@
             self._status_prompt = True
             self._status_at = now + self._random.random() * self.tuning.status_every
 
+    def _status(self, now: float) -> Status:
+        return Status(self.in_force, self.refused_revision, self.refused_reason[:MOST_REASON], self._age_ms(now))
+
     def _age_ms(self, now: float) -> int:
         age = self.age_s(now)
         return (1 << 52) if math.isinf(age) else round(age * 1000.0)
--- /dev/null
+++ b/badgerbend/feednet/follower.py
@@ -0,0 +1,140 @@
+"""A follower's connection: `feed.follower.Follower` between its owner and TCP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from badgerbend.feed.errors import FeedError
+from badgerbend.feed.follower import Action, Connect, Disconnect, Follower, Install, Rejected, Send
+from badgerbend.feed.messages import Change, Message
+from badgerbend.feednet.stream import MessageStream
+from badgerbend.feednet.timer import Clock, WakeUp, monotonic
+
+
+class FollowerOwner(Protocol):
+    """Who puts in force what the feed brings. Called between two turns of the loop, never amid one."""
+
+    def install(self, revision: int, changes: tuple[Change, ...]) -> str:
+        """Puts changes in force; why the newest configuration of the feed is not in force, or nothing. One that cannot
+        be used leaves what was in force as it is."""
+        ...
+
+    def rejected(self, relay: str, error: FeedError) -> None:
+        """A relay sent something that was not used."""
+        ...
+
+
+class FollowerClient:
+    """Built and used on one running loop."""
+
+    def __init__(self, follower: Follower, owner: FollowerOwner, clock: Clock = monotonic) -> None:
+        self.follower, self.owner, self.clock = follower, owner, clock
+        self.loop = asyncio.get_running_loop()
+        self.bytes_received = self.bytes_sent = 0  # over connections that have ended
+        self._stream: MessageStream | None = None
+        self._connecting: asyncio.Task[None] | None = None
+        self._wake_up = WakeUp(clock, self._tick)
+        self._pumping = False
+
+    def start(self) -> None:
+        """Begins to look for a relay."""
+        self.follower.start(self.clock())
+        self._pump()
+
+    def stop(self) -> None:
+        """Ends the connection; the replica stays."""
+        self.follower.stop()
+        self._pump()
+        self._wake_up.cancel()
+
+    @property
+    def traffic(self) -> tuple[int, int]:
+        """Bytes received and sent so far, without the network's own heads."""
+        stream = self._stream
+        if stream is None:
+            return self.bytes_received, self.bytes_sent
+        return self.bytes_received + stream.bytes_received, self.bytes_sent + stream.bytes_sent
+
+    # -- the connection's side
+    def stream_opened(self, stream: MessageStream) -> None:
+        self.follower.connected(self.clock(), stream.number)
+        self._pump()
+
+    def stream_message(self, stream: MessageStream, message: Message) -> None:
+        self.follower.received(self.clock(), stream.number, message)
+        self._pump()
+
+    def stream_unusable(self, stream: MessageStream, error: FeedError) -> None:
+        self.follower.unusable(self.clock(), stream.number, error)
+        self._pump()
+
+    def stream_writable(self, stream: MessageStream) -> None:
+        """What a follower sends is small; nothing waits for room."""
+
+    def stream_closed(self, stream: MessageStream) -> None:
+        self._forget(stream)
+        self.follower.closed(self.clock(), stream.number)
+        self._pump()
+
+    # -- inside
+    def _tick(self) -> None:
+        self.follower.tick(self.clock())
+        self._pump()
+
+    def _pump(self) -> None:
+        """Carries out what the core wants, in its order."""
+        if self._pumping:
+            return
+        self._pumping = True
+        while actions := self.follower.take():
+            for action in actions:
+                self._carry_out(action)
+        self._pumping = False
+        self._wake_up.set(self.follower.next_at)
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Connect():
+                self._connecting = self.loop.create_task(self._connect(action))
+            case Send():
+                if self._stream is not None and self._stream.number == action.attempt:
+                    self._stream.write(action.frame)
+            case Disconnect():
+                self._disconnect()
+            case Install():
+                self._install(action)
+            case Rejected():
+                self.owner.rejected(action.relay, action.error)
+
+    async def _connect(self, action: Connect) -> None:
+        stream = MessageStream(self, action.attempt)
+        self._stream = stream
+        try:
+            await self.loop.create_connection(lambda: stream, action.relay.host, action.relay.port)
+        except OSError:
+            self._forget(stream)
+            self.follower.closed(self.clock(), action.attempt)
+            self._pump()
+
+    def _disconnect(self) -> None:
+        if self._connecting is not None and not self._connecting.done():
+            self._connecting.cancel()
+        if self._stream is not None:
+            self._stream.end()
+            self._forget(self._stream)
+
+    def _forget(self, stream: MessageStream) -> None:
+        self.bytes_received += stream.bytes_received
+        self.bytes_sent += stream.bytes_sent
+        if self._stream is stream:
+            self._stream = None
+
+    def _install(self, action: Install) -> None:
+        reason = self.owner.install(action.revision, action.changes)
+        now = self.clock()
+        if not reason and self.follower.refused_revision:
+            self.follower.accepted(now)
+        elif reason and reason != self.follower.refused_reason:
+            self.follower.refused(now, action.revision, reason)
+        self.follower.applied(now, action.revision)
--- /dev/null
+++ b/badgerbend/feednet/relay.py
@@ -0,0 +1,133 @@
+"""A relay's listening socket: connections of followers between `feed.relay.Relay` and TCP."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+
+from badgerbend.feed.errors import FeedError
+from badgerbend.feed.messages import Message
+from badgerbend.feed.relay import Close, Relay, SendTo
+from badgerbend.feednet.stream import MessageStream
+from badgerbend.feednet.timer import Clock, WakeUp, monotonic
+
+BACKLOG = 4096  # connections that wait to be accepted: a zone's followers return at once
+ROUNDS = 16  # of catching up in one turn of the loop; the rest comes in the next
+
+
+class RelayServer:
+    """Built and used on one running loop."""
+
+    def __init__(self, relay: Relay, clock: Clock = monotonic) -> None:
+        self.relay, self.clock = relay, clock
+        self.loop = asyncio.get_running_loop()
+        self.accepted = 0
+        self._numbers = count(1)
+        self._streams: dict[int, MessageStream] = {}
+        self._written = set[int]()  # connections written to since their core was told that they took it
+        self._wake_up = WakeUp(clock, self._tick)
+        self._server: asyncio.Server | None = None
+        self._again: asyncio.Handle | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens; returns the port. Raises OSError."""
+        self._server = await self.loop.create_server(self._accepted, host, port, backlog=BACKLOG)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def published(self) -> None:
+        """The relay's log has grown."""
+        self.relay.published(self.clock())
+        self.pump()
+
+    def confirmed(self, as_of: float) -> None:
+        """The relay's log held all that was agreed on at this time."""
+        self.relay.confirmed(self.clock(), as_of)
+
+    def pump(self) -> None:
+        """Carries out what the core wants. Call it after each of its calls."""
+        for _ in range(ROUNDS):
+            actions = self.relay.take()
+            if not actions and not self._written:
+                break
+            for action in actions:
+                self._carry_out(action)
+            self._tell_drained()
+        else:
+            self._pump_again()
+        self._wake_up.set(self.relay.next_at)
+
+    async def stop(self) -> None:
+        """Closes the socket and all connections."""
+        self._wake_up.cancel()
+        if self._again is not None:
+            self._again.cancel()
+        if self._server is not None:
+            self._server.close()
+        for stream in list(self._streams.values()):
+            stream.end()
+        self._streams.clear()
+        self._written.clear()
+        if self._server is not None:
+            await self._server.wait_closed()
+
+    # -- the connections' side
+    def stream_opened(self, stream: MessageStream) -> None:
+        self.accepted += 1
+        self._streams[stream.number] = stream
+        self.relay.opened(self.clock(), stream.number)
+        self.pump()
+
+    def stream_message(self, stream: MessageStream, message: Message) -> None:
+        self.relay.received(self.clock(), stream.number, message)
+        self.pump()
+
+    def stream_unusable(self, stream: MessageStream, error: FeedError) -> None:
+        self.relay.unusable(self.clock(), stream.number, error)
+        self.pump()
+
+    def stream_writable(self, stream: MessageStream) -> None:
+        self._written.add(stream.number)
+        self.pump()
+
+    def stream_closed(self, stream: MessageStream) -> None:
+        self._forget(stream.number)
+        self.relay.closed(self.clock(), stream.number)
+        self.pump()
+
+    # -- inside
+    def _accepted(self) -> MessageStream:
+        return MessageStream(self, next(self._numbers))
+
+    def _tick(self) -> None:
+        self.relay.tick(self.clock())
+        self.pump()
+
+    def _carry_out(self, action: SendTo | Close) -> None:
+        stream = self._streams.get(action.session)
+        if stream is None:
+            return
+        if isinstance(action, Close):
+            self._forget(action.session)
+            stream.end()
+            return
+        stream.write(action.frame)
+        self._written.add(action.session)
+
+    def _tell_drained(self) -> None:
+        """Connections that are not full have taken what was written; full ones say so when they have."""
+        written, self._written = self._written, set()
+        for number in written:
+            if not self._streams[number].full:
+                self.relay.drained(self.clock(), number)
+
+    def _forget(self, number: int) -> None:
+        self._streams.pop(number, None)
+        self._written.discard(number)
+
+    def _pump_again(self) -> None:
+        if self._again is None:
+            self._again = self.loop.call_soon(self._pumped_again)
+
+    def _pumped_again(self) -> None:
+        self._again = None
+        self.pump()
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -21,6 +21,7 @@
     "ledger": {"consensus", "disk"},
     "rota": {"api", "config", "consensus", "discovery", "duties", "ledger", "log", "metrics", "net", "runtime"},
     "feed": {"consensus", "duties"},
+    "feednet": {"feed"},
     "knowledge": {"api"},
     "snapshot": {"knowledge"},
     "disk": set(),
