--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,8 @@
 
 from badgerbend import Aggregator, api
 
+pytest_plugins = ["pytester", "tests.known_red"]
+
 # the same examples each time, so that a verdict does not change without a change; explore with --hypothesis-profile
 hypothesis_settings.register_profile("same", derandomize=True, database=None)
 hypothesis_settings.register_profile("explore", max_examples=1000, deadline=None)
