--- a/benchmarks/listing.py
+++ b/benchmarks/listing.py
@@ -18,7 +18,7 @@
 from badgerbend import Aggregator, api
 from badgerbend.broker import settle_memory
 from badgerbend.config import settings as cfg
-from badgerbend.discovery.lines import Directory, Reading
+from badgerbend.discovery.directory import Directory, Reading
 from badgerbend.sites.setup import rules_of
 from badgerbend.sites.tiers import Tiers
 from badgerbend.standin.registry import Entry
--- /dev/null
+++ b/tests/test_benchmarks.py
@@ -0,0 +1,42 @@
+"""Every command in benchmarks/ starts: with `--help` it prints its usage, without the libraries of `[bench]` too."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+COMMANDS = sorted(
+    path.name for path in (ROOT / "benchmarks").glob("*.py") if 'if __name__ == "__main__"' in path.read_text()
+)
+BENCH_LIBRARIES = ("aiohttp", "matplotlib", "numpy", "scipy")
+HELP_WITHIN_S = 60.0
+
+
+@pytest.fixture(scope="module")
+def without_bench_libraries(tmp_path_factory):
+    """A folder of modules in whose place the libraries of `[bench]` cannot be imported, installed or not."""
+    folder = tmp_path_factory.mktemp("without_bench_libraries")
+    for library in BENCH_LIBRARIES:
+        (folder / f"{library}.py").write_text(f"raise ImportError('{library} was imported for --help')\n")
+    return folder
+
+
+def test_there_are_commands():
+    assert len(COMMANDS) > 10
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+def test_a_command_answers_help(command, without_bench_libraries):
+    environment = os.environ | {"PYTHONPATH": os.pathsep.join((str(without_bench_libraries), str(ROOT)))}
+    done = subprocess.run(
+        [sys.executable, str(ROOT / "benchmarks" / command), "--help"],
+        capture_output=True,
+        text=True,
+        timeout=HELP_WITHIN_S,
+        env=environment,
+    )
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.startswith("usage: "), done.stdout
