Raft's events and types stand in modules of their own

Change: a move. Applied, Leads, Follows and Confirmed to consensus/events.py; Machine, Tuning and Role to consensus/types.py. raft names them in __all__, so that duties/voter.py, which others work on now, is not touched.

Result: tests/test_agreement.py (with the defects of tests/mutants.py), test_duties.py and test_architecture.py pass.

--- a/badgerbend/consensus/raft.py
+++ b/badgerbend/consensus/raft.py
@@ -16,10 +16,8 @@
 import random
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
-from enum import Enum, auto
-from typing import Protocol
 
+from badgerbend.consensus.events import Applied, Confirmed, Event, Follows, Leads
 from badgerbend.consensus.log import Kept
 from badgerbend.consensus.messages import (
     MOST_BYTES,
@@ -42,74 +40,16 @@
     encode_names,
     size_of,
 )
+from badgerbend.consensus.types import Machine, Role, Tuning
+
+# Events and types are part of this module's interface: who uses Raft needs them.
+__all__ = ["Applied", "Confirmed", "Follows", "Leads", "Machine", "Raft", "Role", "Tuning"]
 
 HEAD_BYTES = 300  # of a message: all but its entries or its piece
 PIPELINE = 4  # messages on the way to one follower, between its answers
 JOINED_WITHIN = 8  # a newcomer so many entries behind has caught up
 
 
-class Machine(Protocol):
-    """What the log is for. The same commands in the same order leave the same state, wherever."""
-
-    def apply(self, index: int, data: bytes) -> None: ...
-
-    def dump(self) -> bytes: ...
-
-    def load(self, state: bytes) -> None: ...
-
-
-@dataclass(frozen=True, slots=True)
-class Tuning:
-    """election_s: who hears no leader for one to two of these stands; beat_s: a leader is heard so often.
-
-    compact: a snapshot is taken after so many entries.
-    """
-
-    election_s: float = 1.0
-    beat_s: float = 0.2
-    compact: int = 1000
-
-
-class Role(Enum):
-    FOLLOWER = auto()
-    ASKING = auto()  # whether it would be given votes
-    CANDIDATE = auto()
-    LEADER = auto()
-
-
-# -- events
-
-
-@dataclass(frozen=True, slots=True)
-class Applied:
-    entry: Entry
-
-
-@dataclass(frozen=True, slots=True)
-class Leads:
-    """This voter leads, and knows all that was ever acknowledged."""
-
-    term: int
-
-
-@dataclass(frozen=True, slots=True)
-class Follows:
-    """This voter does not lead, or no longer. leader: empty while unknown."""
-
-    term: int
-    leader: str
-
-
-@dataclass(frozen=True, slots=True)
-class Confirmed:
-    """At some moment after `read` was called this voter was the leader, and knew all acknowledged before it."""
-
-    token: int
-
-
-Event = Applied | Leads | Follows | Confirmed
-
-
 class _Progress:
     """What a leader holds of another."""
 
--- a/badgerbend/rota/service.py
+++ b/badgerbend/rota/service.py
@@ -14,7 +14,7 @@
 
 from badgerbend.config.settings import Duties, Settings
 from badgerbend.consensus import messages as voting
-from badgerbend.consensus.raft import Tuning
+from badgerbend.consensus.types import Tuning
 from badgerbend.discovery.directory import Directory
 from badgerbend.discovery.members import parse_address
 from badgerbend.duties.allowance import Slices
--- a/badgerbend/rota/voting.py
+++ b/badgerbend/rota/voting.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from badgerbend.consensus import messages as voting
-from badgerbend.consensus.raft import Tuning
+from badgerbend.consensus.types import Tuning
 from badgerbend.duties.holder import Terms
 from badgerbend.duties.messages import Leave, Told, Want
 from badgerbend.duties.voter import Voter
