--- /dev/null
+++ b/badgerbend/consensus/quorum.py
@@ -0,0 +1,16 @@
+"""Majorities of the voters."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+
+def is_majority(names: Iterable[str], voters: Sequence[str]) -> bool:
+    """Whether the voters among `names` are more than half of all voters."""
+    return 2 * len(set(names) & set(voters)) > len(voters)
+
+
+def majority_index(indices: Iterable[int]) -> int:
+    """The highest index that more than half have reached. indices: the last one that each voter holds."""
+    ascending = sorted(indices)
+    return ascending[(len(ascending) - 1) // 2]
--- a/badgerbend/consensus/raft.py
+++ b/badgerbend/consensus/raft.py
@@ -20,7 +20,6 @@
 from badgerbend.consensus.events import Applied, Confirmed, Event, Follows, Leads
 from badgerbend.consensus.log import Kept
 from badgerbend.consensus.messages import (
-    MOST_BYTES,
     MOST_COMMAND,
     MOST_VOTERS,
     Append,
@@ -38,30 +37,18 @@
     Vote,
     Voted,
     encode_names,
-    size_of,
 )
+from badgerbend.consensus.quorum import is_majority, majority_index
+from badgerbend.consensus.replication import Leadership, Progress, outstanding, snapshot_piece
+from badgerbend.consensus.snapshots import IncomingSnapshot, compacted
 from badgerbend.consensus.types import Machine, Role, Tuning
 
 # Events and types are part of this module's interface: who uses Raft needs them.
 __all__ = ["Applied", "Confirmed", "Follows", "Leads", "Machine", "Raft", "Role", "Tuning"]
 
-HEAD_BYTES = 300  # of a message: all but its entries or its piece
-PIPELINE = 4  # messages on the way to one follower, between its answers
 JOINED_WITHIN = 8  # a newcomer so many entries behind has caught up
 
 
-class _Progress:
-    """What a leader holds of another."""
-
-    __slots__ = ("beat", "flying", "heard_at", "match", "next", "offset")
-
-    def __init__(self, following: int, now: float) -> None:
-        self.match, self.next = 0, following
-        self.heard_at, self.beat = now, 0
-        self.offset = 0  # of the snapshot, acknowledged
-        self.flying = 0  # messages since its last answer
-
-
 class Raft:
     """One voter, or one that waits to become one. `kept` is what its disk holds; it is the machine's to load."""
 
@@ -75,7 +62,7 @@
         self.role, self.leader = Role.FOLLOWER, ""
         self.heard_at = -math.inf  # a leader
         self.votes = set[str]()
-        self.progress: dict[str, _Progress] = {}
+        self.progress: dict[str, Progress] = {}
         self.joining = ""
         self.ceding: tuple[str, float] | None = None
         self.beat, self.beat_at = 0, math.inf
@@ -88,7 +75,7 @@
         self._appends: deque[tuple[int, int]] = deque()  # not on disk yet: the write, its last index
         self._held: deque[tuple[int, str, Message]] = deque()  # until a write is on disk
         self._own_vote: tuple[int, int] | None = None  # the same for its own: the write, the term
-        self._partial: tuple[tuple[int, int, int], bytearray] | None = None
+        self._incoming: IncomingSnapshot | None = None
         self._told_lead = 0
         self.deadline = self._new_deadline(now)
 
@@ -130,7 +117,7 @@
                     self._ask_first(now)
             return
         fresh = [n for n in self.voters if n == self.name or now - self.progress[n].heard_at < self._patience()]
-        if not self._most(fresh):
+        if not is_majority(fresh, self.voters):
             self._follow(now, self.term, "")
             return
         if self.ceding is not None and now >= self.ceding[1]:
@@ -172,7 +159,7 @@
             return "the last voter stays"
         if votes:
             self.joining = name
-            self.progress.setdefault(name, _Progress(self.log.last_index + 1, now))
+            self.progress.setdefault(name, Progress(self.log.last_index + 1, now))
             self._beat(now)
         else:
             self._add(now, Kind.VOTERS, encode_names(tuple(n for n in self.voters if n != name)))
@@ -223,10 +210,6 @@
     def _patience(self) -> float:
         return 2.0 * self.tuning.election_s
 
-    def _most(self, names: Sequence[str]) -> bool:
-        """Whether these are more than half of the voters."""
-        return 2 * len(set(names) & set(self.voters)) > len(self.voters)
-
     def _ask_first(self, now: float) -> None:
         self.role, self.leader, self.votes = Role.ASKING, "", set()
         self._ask(pre=True, ceded=False)
@@ -279,7 +262,7 @@
 
     def _vote_for_me(self, now: float, name: str) -> None:
         self.votes.add(name)
-        if self._most(list(self.votes)):
+        if is_majority(self.votes, self.voters):
             if self.role is Role.ASKING:
                 self._stand(now)
             else:
@@ -288,7 +271,7 @@
     def _lead(self, now: float) -> None:
         self.role, self.leader, self.ceding, self.joining = Role.LEADER, self.name, None, ""
         following = self.log.last_index + 1
-        self.progress = {n: _Progress(following, now) for n in self.voters if n != self.name}
+        self.progress = {n: Progress(following, now) for n in self.voters if n != self.name}
         self.beat, self.reads = 0, []
         self._add(now, Kind.NOOP, b"")
         self._beat(now)
@@ -310,7 +293,7 @@
         entry = Entry(self.log.last_index + 1, self.term, kind, data)
         self._append((entry,))
         for name in list(self.progress):
-            self._feed(now, name)
+            self._feed(name)
         self._advance(now)
         return entry.index
 
@@ -318,81 +301,56 @@
         self.beat += 1
         self.beat_at = now + self.tuning.beat_s
         for name, progress in self.progress.items():
-            progress.flying = 0
-            self._feed(now, name, empty=True)
+            progress.in_flight = 0
+            self._feed(name, heartbeat=True)
         self._confirm()
 
-    def _feed(self, now: float, name: str, empty: bool = False) -> None:
-        """Sends what another lacks, as far as may be on the way at once; a heartbeat where it lacks nothing."""
-        progress, log = self.progress[name], self.log
-        while progress.flying < PIPELINE and (empty or progress.next <= log.last_index):
-            empty = False
-            progress.flying += 1
-            previous = progress.next - 1
-            term = log.term_at(previous)
-            if term is None:
-                self._piece(name, progress)
-                return
-            entries, room = list[Entry](), MOST_BYTES - HEAD_BYTES
-            for entry in log.after(previous):
-                room -= size_of(entry)
-                if entries and room < 0:
-                    break
-                entries.append(entry)
-            progress.next += len(entries)
-            message = Feed(self.term, self.name, previous, term, tuple(entries), self.commit, self.beat)
+    def _leadership(self) -> Leadership:
+        return Leadership(self.term, self.name, self.commit, self.beat)
+
+    def _feed(self, name: str, heartbeat: bool = False) -> None:
+        for message in outstanding(self._leadership(), self.log, self.progress[name], heartbeat):
             self._send(name, message, 0)
 
-    def _piece(self, name: str, progress: _Progress) -> None:
-        snapshot = self.log.snapshot
-        state = snapshot.state
-        offset = min(progress.offset, len(state))
-        piece = state[offset : offset + MOST_BYTES - HEAD_BYTES]
-        message = Install(
-            self.term, self.name, snapshot.index, snapshot.term, snapshot.voters, offset, len(state), piece, self.beat
-        )
-        self._send(name, message, 0)
-
-    def _acknowledged(self, now: float, m: Fed) -> None:
-        progress = self._heard(now, m)
+    def _acknowledged(self, now: float, answer: Fed) -> None:
+        progress = self._heard(now, answer)
         if progress is None:
             return
-        if not m.ok:
-            progress.next = max(progress.match + 1, min(m.index + 1, progress.next))
-            self._feed(now, m.source, empty=True)
-        elif m.index > progress.match:
-            progress.match = m.index
-            progress.next = max(progress.next, m.index + 1)
+        if not answer.ok:
+            progress.rejected(answer.index)
+            self._feed(answer.source, heartbeat=True)
+        elif answer.index > progress.match:
+            progress.matched(answer.index)
             self._advance(now)
-        self._go_on(now, m.source)
+        self._go_on(now, answer.source)
 
-    def _installed(self, now: float, m: Installed) -> None:
-        progress = self._heard(now, m)
+    def _installed(self, now: float, answer: Installed) -> None:
+        progress = self._heard(now, answer)
         if progress is None:
             return
-        if m.kept:
-            progress.match = max(progress.match, m.index)
-            progress.next, progress.offset = max(progress.next, progress.match + 1), 0
+        if answer.kept:
+            progress.installed(answer.index)
         else:
-            progress.offset = m.offset if m.index == self.log.base else 0
+            progress.offset = answer.offset if answer.index == self.log.base else 0
             if progress.next <= self.log.base:
-                progress.flying += 1
-                self._piece(m.source, progress)
+                progress.in_flight += 1
+                piece = snapshot_piece(self._leadership(), self.log.snapshot, progress.offset)
+                self._send(answer.source, piece, 0)
                 return
-        self._go_on(now, m.source)
+        self._go_on(now, answer.source)
 
-    def _heard(self, now: float, m: Fed | Installed) -> _Progress | None:
-        progress = self.progress.get(m.source) if self.role is Role.LEADER else None
+    def _heard(self, now: float, answer: Fed | Installed) -> Progress | None:
+        """Notes a follower's answer; None where this voter does not lead or the other is no follower of it."""
+        progress = self.progress.get(answer.source) if self.role is Role.LEADER else None
         if progress is not None:
-            progress.heard_at, progress.flying = now, max(progress.flying - 1, 0)
-            progress.beat = max(progress.beat, m.beat)
+            progress.answered(now, answer.beat)
             self._confirm()
         return progress
 
     def _go_on(self, now: float, name: str) -> None:
         if self.role is not Role.LEADER or name not in self.progress:
             return
-        self._feed(now, name)
+        self._feed(name)
         if name == self.joining and self.progress[name].match + JOINED_WITHIN >= self.log.last_index:
             self.joining = ""
             self._add(now, Kind.VOTERS, encode_names((*self.voters, name)))
@@ -405,7 +363,8 @@
     def _confirm(self) -> None:
         while self.reads:
             beat, token = self.reads[0]
-            if not self._most([n for n in self.voters if n == self.name or self.progress[n].beat >= beat]):
+            answered = [n for n in self.voters if n == self.name or self.progress[n].beat >= beat]
+            if not is_majority(answered, self.voters):
                 return
             if beat > self.beat:
                 return
@@ -415,8 +374,7 @@
     def _advance(self, now: float) -> None:
         """Commits what most voters have on disk, once that reaches an entry of this term (3.6.2: an earlier term's
         is never committed by counting)."""
-        have = sorted(self.durable if n == self.name else self.progress[n].match for n in self.voters)
-        index = have[(len(have) - 1) // 2]
+        index = majority_index(self.durable if n == self.name else self.progress[n].match for n in self.voters)
         if index > self.commit and self._countable(index):
             self.commit = index
             self._apply(now)
@@ -454,27 +412,30 @@
             self._follow(now, self.term, name)
         self.heard_at, self.deadline = now, self._new_deadline(now)
 
-    def _installing(self, now: float, m: Install) -> None:
-        self._leader_is(now, m.source)
-        if m.index <= self.commit:
-            self._partial = None
-            self._send(m.source, Installed(self.term, self.name, m.index, 0, True, m.beat), self._promised())
+    def _installing(self, now: float, message: Install) -> None:
+        self._leader_is(now, message.source)
+        if message.index <= self.commit:
+            self._incoming = None
+            self._acknowledge_snapshot(message)
             return
-        which = (m.term, m.index, m.size)
-        if self._partial is None or self._partial[0] != which:
-            self._partial = (which, bytearray())
-        state = self._partial[1]
-        if m.offset == len(state):
-            state += m.piece
-        if len(state) < m.size:
-            self._send(m.source, Installed(self.term, self.name, m.index, len(state), False, m.beat), 0)
+        if self._incoming is None or not self._incoming.includes(message):
+            self._incoming = IncomingSnapshot(message)
+        incoming = self._incoming
+        incoming.add(message)
+        if not incoming.whole:
+            so_far = Installed(self.term, self.name, message.index, incoming.received, False, message.beat)
+            self._send(message.source, so_far, 0)
             return
-        self._partial = None
-        snapshot = Snapshot(m.index, m.snapshot_term, m.voters, bytes(state))
+        self._incoming = None
+        snapshot = incoming.snapshot(message)
         self._keep(snapshot)
         self.machine.load(snapshot.state)
         self.commit = self.applied = snapshot.index
-        self._send(m.source, Installed(self.term, self.name, m.index, 0, True, m.beat), self._promised())
+        self._acknowledge_snapshot(message)
+
+    def _acknowledge_snapshot(self, message: Install) -> None:
+        kept = Installed(self.term, self.name, message.index, 0, True, message.beat)
+        self._send(message.source, kept, self._promised())
 
     def _apply(self, now: float) -> None:
         while self.applied < self.commit:
@@ -487,19 +448,11 @@
             self._told_lead = self.term
             self.events.append(Leads(self.term))
         if self.applied - self.log.base >= self.tuning.compact:
-            self._compact()
+            self._keep(compacted(self.log, self.applied, self.machine.dump()))
         if self.role is Role.LEADER and self.name not in self.voters and self.voters_index <= self.commit:
             self._beat(now)  # the others learn that it stands
             self._follow(now, self.term, "")
 
-    def _compact(self) -> None:
-        voters = self.log.snapshot.voters
-        for entry in self.log.entries[: self.applied - self.log.base]:
-            voters = entry.voters() if entry.kind is Kind.VOTERS else voters
-        term = self.log.term_at(self.applied)
-        assert term is not None
-        self._keep(Snapshot(self.applied, term, voters, self.machine.dump()))
-
     # -- what is kept
     def _write(self, record: Record) -> int:
         self.seq += 1
@@ -533,7 +486,7 @@
         if self.role is Role.LEADER:
             following = self.log.last_index + 1
             kept = [n for n in dict.fromkeys((*self.voters, self.joining)) if n not in ("", self.name)]
-            self.progress = {n: self.progress.get(n) or _Progress(following, self.heard_at) for n in kept}
+            self.progress = {n: self.progress.get(n) or Progress(following, self.heard_at) for n in kept}
 
     def _send(self, to: str, message: Message, after: int) -> None:
         """after: the write that must be on disk first; 0 for none."""
--- /dev/null
+++ b/badgerbend/consensus/replication.py
@@ -0,0 +1,101 @@
+"""A leader's side of replication to one follower: what is known of the follower's log, and what to send it next."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from badgerbend.consensus.log import Log
+from badgerbend.consensus.messages import MOST_BYTES, Entry, Feed, Install, Snapshot, size_of
+
+HEAD_BYTES = 300  # of a message: all but its entries or its piece
+PIPELINE = 4  # messages on the way to one follower, between its answers
+
+
+@dataclass(frozen=True, slots=True)
+class Leadership:
+    """What every message of a leader states. beat: the number of its latest round of heartbeats."""
+
+    term: int
+    leader: str
+    commit: int
+    beat: int
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a leader knows of one follower.
+
+    next: the index of the entry to send next. match: the last index known to be on the follower's disk. beat: the
+    latest round of heartbeats that it answered. offset: how much of the snapshot it acknowledged, in bytes.
+    in_flight: messages sent since its last answer.
+    """
+
+    next: int
+    heard_at: float
+    match: int = 0
+    beat: int = 0
+    offset: int = 0
+    in_flight: int = 0
+
+    def answered(self, now: float, beat: int) -> None:
+        """Any answer of this leader's term has come, to a message of that round of heartbeats."""
+        self.heard_at = now
+        self.in_flight = max(self.in_flight - 1, 0)
+        self.beat = max(self.beat, beat)
+
+    def rejected(self, hint: int) -> None:
+        """Entries did not fit the follower's log. hint: the last index that may match."""
+        self.next = max(self.match + 1, min(hint + 1, self.next))
+
+    def matched(self, index: int) -> None:
+        """The follower's log is known to match up to this index, further than before."""
+        self.match = index
+        self.next = max(self.next, index + 1)
+
+    def installed(self, index: int) -> None:
+        """The follower has the whole snapshot of this index."""
+        self.match = max(self.match, index)
+        self.next = max(self.next, self.match + 1)
+        self.offset = 0
+
+
+def outstanding(leadership: Leadership, log: Log, progress: Progress, heartbeat: bool) -> list[Feed | Install]:
+    """What the follower lacks, as far as may be in flight at once. heartbeat: send a message if it lacks nothing."""
+    messages = list[Feed | Install]()
+    while progress.in_flight < PIPELINE and (heartbeat or progress.next <= log.last_index):
+        heartbeat = False
+        progress.in_flight += 1
+        previous = progress.next - 1
+        previous_term = log.term_at(previous)
+        if previous_term is None:  # compacted: only the snapshot holds it
+            messages.append(snapshot_piece(leadership, log.snapshot, progress.offset))
+            break
+        entries = _entries_for_one_message(log, previous)
+        progress.next += len(entries)
+        messages.append(
+            Feed(
+                leadership.term, leadership.leader, previous, previous_term, entries, leadership.commit, leadership.beat
+            )
+        )
+    return messages
+
+
+def _entries_for_one_message(log: Log, previous: int) -> tuple[Entry, ...]:
+    """Entries after an index, as many as fit; at least one if there is one."""
+    entries, room = list[Entry](), MOST_BYTES - HEAD_BYTES
+    for entry in log.after(previous):
+        room -= size_of(entry)
+        if entries and room < 0:
+            break
+        entries.append(entry)
+    return tuple(entries)
+
+
+def snapshot_piece(leadership: Leadership, snapshot: Snapshot, acknowledged: int) -> Install:
+    """The piece of a snapshot that follows its first `acknowledged` bytes."""
+    offset = min(acknowledged, len(snapshot.state))
+    piece = snapshot.state[offset : offset + MOST_BYTES - HEAD_BYTES]
+    return Install(
+        leadership.term, leadership.leader, snapshot.index, snapshot.term, snapshot.voters,
+        offset, len(snapshot.state), piece, leadership.beat,
+    )  # fmt: skip
--- a/tests/modelvoters.py
+++ b/tests/modelvoters.py
@@ -139,7 +139,7 @@
         rows = []
         for name in NAMES:
             r = self.rafts[name]
-            progress = tuple((n, p.match, p.next, p.flying) for n, p in sorted(r.progress.items()))
+            progress = tuple((n, p.match, p.next, p.in_flight) for n, p in sorted(r.progress.items()))
             entries = tuple((e.term, e.data) for e in r.log.entries)
             held = tuple((to, voting.encode(m)) for _, to, m in r._held)
             rows.append(
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -3,7 +3,7 @@
 import pytest
 
 from badgerbend.consensus import messages as voting
-from badgerbend.consensus import raft as raft_module
+from badgerbend.consensus import replication
 from badgerbend.consensus.log import Kept, Log
 from badgerbend.consensus.raft import Applied, Confirmed, Leads, Raft, Role, Tuning
 from badgerbend.duties.holder import Holder, Terms
@@ -47,7 +47,7 @@
 
 def figure_8(kind, monkeypatch):
     """A leader finds an entry of an earlier term on most voters; another, who never had it, leads after it."""
-    monkeypatch.setattr(raft_module, "MOST_BYTES", raft_module.HEAD_BYTES)  # one entry a message
+    monkeypatch.setattr(replication, "MOST_BYTES", replication.HEAD_BYTES)  # one entry a message
     state = State(kind)
     state.left = {"stand": 9, "propose": 0, "crash": 0}
 
