Raft: typed rows for what waits, a follower's log checks in Log, shorter handlers

Cause: what a voter waits for stood in bare tuples (a write and a term, a beat and a token), a vote request was answered in one function with three cases, and a follower's search for a matching index stood inside the handler of its message.

Change: consensus/pending.py names the rows; Log.missing and Log.last_possible_match hold the checks; requests for a vote before and in an election are answered by two functions; what refuses a change of voters is a function of its own; whole names in place of `m`. No behaviour changes.

--- a/badgerbend/consensus/log.py
+++ b/badgerbend/consensus/log.py
@@ -44,6 +44,23 @@
     def at(self, index: int) -> Entry:
         return self.entries[index - self.base - 1]
 
+    def missing(self, entries: Sequence[Entry]) -> Sequence[Entry]:
+        """Of entries in a row after the base, all from the first that this log does not hold with the same term."""
+        for position, entry in enumerate(entries):
+            if self.term_at(entry.index) != entry.term:
+                return entries[position:]
+        return ()
+
+    def last_possible_match(self, index: int, term: int, committed: int) -> int:
+        """The last index at which a log may agree with this one, if it has `term` at `index`, where this one differs.
+
+        A whole term that the other cannot hold there is passed over at once; what is committed agrees.
+        """
+        match = min(index - 1, self.last_index)
+        while match > committed and (self.term_at(match) or 0) > term:
+            match -= 1
+        return match
+
     def append(self, entries: Sequence[Entry]) -> None:
         """In a row, from an index that is held or follows the last; what stood there is replaced."""
         del self.entries[entries[0].index - self.base - 1 :]
--- a/badgerbend/consensus/raft.py
+++ b/badgerbend/consensus/raft.py
@@ -38,6 +38,7 @@
     Voted,
     encode_names,
 )
+from badgerbend.consensus.pending import HeldMessage, OwnVote, PendingRead, Transfer, UnsyncedEntries
 from badgerbend.consensus.quorum import is_majority, majority_index
 from badgerbend.consensus.replication import Leadership, Progress, outstanding, snapshot_piece
 from badgerbend.consensus.snapshots import IncomingSnapshot, compacted
@@ -64,17 +65,17 @@
         self.votes = set[str]()
         self.progress: dict[str, Progress] = {}
         self.joining = ""
-        self.ceding: tuple[str, float] | None = None
+        self.transferring: Transfer | None = None
         self.beat, self.beat_at = 0, math.inf
-        self.reads: list[tuple[int, int]] = []  # the beat that confirms, and the token
+        self.reads: list[PendingRead] = []
         self.out: list[tuple[str, Message]] = []
         self.writes: list[tuple[int, Record]] = []
         self.events: list[Event] = []
         self.seq = self.synced = 0  # writes, and those on disk
         self.durable = self.log.last_index
-        self._appends: deque[tuple[int, int]] = deque()  # not on disk yet: the write, its last index
-        self._held: deque[tuple[int, str, Message]] = deque()  # until a write is on disk
-        self._own_vote: tuple[int, int] | None = None  # the same for its own: the write, the term
+        self._appends: deque[UnsyncedEntries] = deque()
+        self._held: deque[HeldMessage] = deque()
+        self._own_vote: OwnVote | None = None
         self._incoming: IncomingSnapshot | None = None
         self._told_lead = 0
         self.deadline = self._new_deadline(now)
@@ -120,8 +121,8 @@
         if not is_majority(fresh, self.voters):
             self._follow(now, self.term, "")
             return
-        if self.ceding is not None and now >= self.ceding[1]:
-            self.ceding = None
+        if self.transferring is not None and now >= self.transferring.until:
+            self.transferring = None
         if now >= self.beat_at:
             self._beat(now)
 
@@ -133,7 +134,7 @@
     def propose(self, now: float, data: bytes) -> int | None:
         """A command for the log: its index, or None where this voter does not lead or hands over. It stands once
         `Applied` tells of an entry with that index and this term; another in its place says that it was lost."""
-        if self.role is not Role.LEADER or self.ceding is not None or len(data) > MOST_COMMAND:
+        if self.role is not Role.LEADER or self.transferring is not None or len(data) > MOST_COMMAND:
             return None
         return self._add(now, Kind.COMMAND, data)
 
@@ -141,12 +142,24 @@
         """Asks for `Confirmed(token)`; False where this voter does not lead. No word comes if it is deposed."""
         if not self.ready:
             return False
-        self.reads.append((self.beat + 1, token))
+        self.reads.append(PendingRead(self.beat + 1, token))
         self.beat_at = min(self.beat_at, now + self.tuning.beat_s / 20)  # those that come together share a round
         return True
 
     def change(self, now: float, name: str, votes: bool) -> str | None:
         """Lets another vote, or no longer; what stands against it, or None. One who joins is fed first."""
+        refusal = self._change_refused(name, votes)
+        if refusal is not None:
+            return refusal
+        if votes:
+            self.joining = name
+            self.progress.setdefault(name, Progress(self.log.last_index + 1, now))
+            self._beat(now)
+        else:
+            self._add(now, Kind.VOTERS, encode_names(tuple(voter for voter in self.voters if voter != name)))
+        return None
+
+    def _change_refused(self, name: str, votes: bool) -> str | None:
         if not self.ready:
             return "not the leader"
         if self.voters_index > self.commit or self.joining not in ("", name):
@@ -157,34 +170,28 @@
             return f"there are {MOST_VOTERS} voters already"
         if not votes and len(self.voters) == 1:
             return "the last voter stays"
-        if votes:
-            self.joining = name
-            self.progress.setdefault(name, Progress(self.log.last_index + 1, now))
-            self._beat(now)
-        else:
-            self._add(now, Kind.VOTERS, encode_names(tuple(n for n in self.voters if n != name)))
         return None
 
     def transfer(self, now: float, to: str = "") -> bool:
         """Hands leadership over, to the one that has most where none is named; proposals wait meanwhile."""
-        others = [n for n in self.voters if n != self.name]
+        others = [voter for voter in self.voters if voter != self.name]
         if self.role is not Role.LEADER or not others or (to and to not in others):
             return False
-        to = to or max(others, key=lambda n: (self.progress[n].match, self.progress[n].heard_at))
-        self.ceding = (to, now + self.tuning.election_s)
+        to = to or max(others, key=lambda other: (self.progress[other].match, self.progress[other].heard_at))
+        self.transferring = Transfer(to, now + self.tuning.election_s)
         self._cede_if_level(now)
         return True
 
     def saved(self, now: float, seq: int) -> None:
         """All writes up to this one are on disk, for good."""
         self.synced = max(self.synced, seq)
-        while self._appends and self._appends[0][0] <= self.synced:
-            self.durable = max(self.durable, self._appends.popleft()[1])
-        while self._held and self._held[0][0] <= self.synced:
-            _, to, message = self._held.popleft()
-            self.out.append((to, message))
-        if self._own_vote is not None and self._own_vote[0] <= self.synced:
-            _, term = self._own_vote
+        while self._appends and self._appends[0].write <= self.synced:
+            self.durable = max(self.durable, self._appends.popleft().last_index)
+        while self._held and self._held[0].write <= self.synced:
+            held = self._held.popleft()
+            self.out.append((held.to, held.message))
+        if self._own_vote is not None and self._own_vote.write <= self.synced:
+            term = self._own_vote.term
             self._own_vote = None
             if self.role is Role.CANDIDATE and self.term == term:
                 self._vote_for_me(now, self.name)
@@ -218,7 +225,7 @@
     def _stand(self, now: float, ceded: bool = False) -> None:
         self.role, self.leader, self.votes = Role.CANDIDATE, "", set()
         self.term, self.voted = self.term + 1, self.name
-        self._own_vote = (self._write(Vote(self.term, self.name)), self.term)
+        self._own_vote = OwnVote(self._write(Vote(self.term, self.name)), self.term)
         self.deadline = self._new_deadline(now)
         self._ask(pre=False, ceded=ceded)
 
@@ -229,36 +236,43 @@
                 message = AskVote(term, self.name, log.last_index, log.last_term, pre, ceded)
                 self._send(name, message, 0 if pre else self.seq)
 
-    def _asked(self, now: float, m: AskVote) -> None:
+    def _asked(self, now: float, request: AskVote) -> None:
         """One who heard a leader lately gives nobody a thought: who was cut off or removed disturbs no one."""
-        if m.term < self.term:
-            self._send(m.source, Voted(self.term, self.name, m.pre, False), self.seq)
-            return
-        if not m.ceded and (self.role is Role.LEADER or now - self.heard_at < self.tuning.election_s):
+        if request.term < self.term:
+            self._send(request.source, Voted(self.term, self.name, request.pre, False), self.seq)
             return
-        fits = (m.last_term, m.last_index) >= (self.log.last_term, self.log.last_index)
-        if m.pre:
-            granted = fits and m.term > self.term
-            self._send(m.source, Voted(m.term if granted else self.term, self.name, True, granted), self.seq)
+        if not request.ceded and (self.role is Role.LEADER or now - self.heard_at < self.tuning.election_s):
             return
-        if m.term > self.term:
-            self._follow(now, m.term, "")
-        granted = fits and self.voted in ("", m.source)
+        up_to_date = (request.last_term, request.last_index) >= (self.log.last_term, self.log.last_index)
+        if request.pre:
+            self._answer_pre_vote(request, up_to_date)
+        else:
+            self._answer_vote(now, request, up_to_date)
+
+    def _answer_pre_vote(self, request: AskVote, up_to_date: bool) -> None:
+        granted = up_to_date and request.term > self.term
+        term = request.term if granted else self.term
+        self._send(request.source, Voted(term, self.name, True, granted), self.seq)
+
+    def _answer_vote(self, now: float, request: AskVote, up_to_date: bool) -> None:
+        if request.term > self.term:
+            self._follow(now, request.term, "")
+        granted = up_to_date and self.voted in ("", request.source)
         if granted and not self.voted:
-            self.voted = m.source
-            self._write(Vote(self.term, m.source))
+            self.voted = request.source
+            self._write(Vote(self.term, request.source))
         if granted:
             self.deadline = self._new_deadline(now)
-        self._send(m.source, Voted(self.term, self.name, False, granted), self._promised())
+        self._send(request.source, Voted(self.term, self.name, False, granted), self._promised())
 
     def _promised(self) -> int:
         """The write that must be on disk before a promise is made on what was decided so far."""
         return self.seq
 
-    def _counted(self, now: float, m: Voted) -> None:
-        asked = Role.ASKING if m.pre else Role.CANDIDATE
-        if m.granted and self.role is asked and m.term == self.term + m.pre:
-            self._vote_for_me(now, m.source)
+    def _counted(self, now: float, answer: Voted) -> None:
+        asked = Role.ASKING if answer.pre else Role.CANDIDATE
+        if answer.granted and self.role is asked and answer.term == self.term + answer.pre:
+            self._vote_for_me(now, answer.source)
 
     def _vote_for_me(self, now: float, name: str) -> None:
         self.votes.add(name)
@@ -269,7 +283,7 @@
                 self._lead(now)
 
     def _lead(self, now: float) -> None:
-        self.role, self.leader, self.ceding, self.joining = Role.LEADER, self.name, None, ""
+        self.role, self.leader, self.transferring, self.joining = Role.LEADER, self.name, None, ""
         following = self.log.last_index + 1
         self.progress = {n: Progress(following, now) for n in self.voters if n != self.name}
         self.beat, self.reads = 0, []
@@ -284,7 +298,7 @@
         led = self.role is Role.LEADER
         if led or leader != self.leader:
             self.events.append(Follows(term, leader))
-        self.role, self.leader, self.ceding, self.joining = Role.FOLLOWER, leader, None, ""
+        self.role, self.leader, self.transferring, self.joining = Role.FOLLOWER, leader, None, ""
         self.reads, self.progress, self.beat_at = [], {}, math.inf
         self.deadline = self._new_deadline(now)
 
@@ -357,19 +371,22 @@
         self._cede_if_level(now)
 
     def _cede_if_level(self, now: float) -> None:
-        if self.ceding is not None and self.progress[self.ceding[0]].match == self.log.last_index:
-            self._send(self.ceding[0], Cede(self.term, self.name), 0)
+        """Tells the one that takes over to stand, once it holds the whole log."""
+        if self.transferring is None:
+            return
+        to = self.transferring.to
+        if self.progress[to].match == self.log.last_index:
+            self._send(to, Cede(self.term, self.name), 0)
 
     def _confirm(self) -> None:
+        """Confirms reads whose round of heartbeats a majority has answered."""
         while self.reads:
-            beat, token = self.reads[0]
-            answered = [n for n in self.voters if n == self.name or self.progress[n].beat >= beat]
-            if not is_majority(answered, self.voters):
-                return
-            if beat > self.beat:
+            read = self.reads[0]
+            answered = [n for n in self.voters if n == self.name or self.progress[n].beat >= read.beat]
+            if read.beat > self.beat or not is_majority(answered, self.voters):
                 return
             self.reads.pop(0)
-            self.events.append(Confirmed(token))
+            self.events.append(Confirmed(read.token))
 
     def _advance(self, now: float) -> None:
         """Commits what most voters have on disk, once that reaches an entry of this term (3.6.2: an earlier term's
@@ -383,29 +400,22 @@
         return self.log.term_at(index) == self.term
 
     # -- the follower's log
-    def _fed(self, now: float, m: Feed) -> None:
-        self._leader_is(now, m.source)
-        previous, entries = m.prev_index, m.entries
-        if previous < self.log.base:  # committed here already, and so the same
-            entries = tuple(e for e in entries if e.index > self.log.base)
-            previous = self.log.base
-            fits = True
-        else:
-            fits = self.log.term_at(previous) == m.prev_term
-        if not fits:
-            at = min(previous - 1, self.log.last_index)
-            while at > self.commit and (self.log.term_at(at) or 0) > m.prev_term:
-                at -= 1  # a whole term that the leader cannot hold there
-            self._send(m.source, Fed(self.term, self.name, False, at, m.beat), self._promised())
+    def _fed(self, now: float, message: Feed) -> None:
+        self._leader_is(now, message.source)
+        base = self.log.base
+        if message.prev_index >= base and self.log.term_at(message.prev_index) != message.prev_term:
+            hint = self.log.last_possible_match(message.prev_index, message.prev_term, self.commit)
+            self._send(message.source, Fed(self.term, self.name, False, hint, message.beat), self._promised())
             return
-        new = [e for e in entries if self.log.term_at(e.index) != e.term]
-        if new:
-            self._append(entries[new[0].index - entries[0].index :])
-        index = entries[-1].index if entries else previous
-        if min(m.commit, index) > self.commit:
-            self.commit = min(m.commit, index)
+        entries = [e for e in message.entries if e.index > base]  # what is compacted was committed, and so the same
+        missing = self.log.missing(entries)
+        if missing:
+            self._append(missing)
+        matched = entries[-1].index if entries else max(message.prev_index, base)
+        if min(message.commit, matched) > self.commit:
+            self.commit = min(message.commit, matched)
             self._apply(now)
-        self._send(m.source, Fed(self.term, self.name, True, index, m.beat), self._promised())
+        self._send(message.source, Fed(self.term, self.name, True, matched, message.beat), self._promised())
 
     def _leader_is(self, now: float, name: str) -> None:
         if self.role is not Role.FOLLOWER or self.leader != name:
@@ -461,21 +471,24 @@
 
     def _append(self, entries: Sequence[Entry]) -> None:
         first = entries[0].index
-        self.durable = min(self.durable, first - 1)
-        self._appends = deque((seq, min(last, first - 1)) for seq, last in self._appends)
+        self._bound_durable(first - 1)
         self.log.append(entries)
-        self._appends.append((self._write(Append(tuple(entries))), entries[-1].index))
+        write = self._write(Append(tuple(entries)))
+        self._appends.append(UnsyncedEntries(write, entries[-1].index))
         self._read_voters(first)
 
     def _keep(self, snapshot: Snapshot) -> None:
         self.log.take(snapshot)
-        seq = self._write(snapshot)
-        last = self.log.last_index
-        self.durable = min(self.durable, last)
-        self._appends = deque((s, min(at, last)) for s, at in self._appends)
-        self._appends.append((seq, snapshot.index))
+        write = self._write(snapshot)
+        self._bound_durable(self.log.last_index)
+        self._appends.append(UnsyncedEntries(write, snapshot.index))
         self._read_voters(0)
 
+    def _bound_durable(self, index: int) -> None:
+        """What stood beyond this index was replaced, so that no write made before makes it durable."""
+        self.durable = min(self.durable, index)
+        self._appends = deque(UnsyncedEntries(write, min(last, index)) for write, last in self._appends)
+
     def _read_voters(self, changed_from: int) -> None:
         """Who votes, by the log as it is now; only a word on it, or the loss of one, changes that."""
         if changed_from > self.voters_index and not any(
@@ -491,6 +504,6 @@
     def _send(self, to: str, message: Message, after: int) -> None:
         """after: the write that must be on disk first; 0 for none."""
         if after > self.synced:
-            self._held.append((after, to, message))
+            self._held.append(HeldMessage(after, to, message))
         else:
             self.out.append((to, message))
