Settings: the typed settings, their kinds and their reading stand in modules of their own

Change: a move. config/kinds.py holds kinds of values with their bounds, config/fleet.py the sections on other brokers (peers, sites, duties), config/reading.py what reads a file, config/module.py module_settings; settings.py keeps the other sections and Settings. Importers name the new homes; in the tests too only imports and names of modules changed.

--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from badgerbend import api
-from badgerbend.config.settings import Settings, module_settings
+from badgerbend.config.module import module_settings
+from badgerbend.config.settings import Settings
 from badgerbend.discovery.consul import ConsulTarget
 from badgerbend.discovery.lines import consul_directory
 from badgerbend.discovery.watch import Watch
--- a/badgerbend/cli.py
+++ b/badgerbend/cli.py
@@ -17,7 +17,8 @@
 from badgerbend.broker import Broker, read_subgraph
 from badgerbend.cli_duties import duties, voters
 from badgerbend.config import decode
-from badgerbend.config.settings import Settings, form_name, load
+from badgerbend.config.reading import form_name, load
+from badgerbend.config.settings import Settings
 from badgerbend.config.sexpr import SettingsError
 from badgerbend.graphql.schema import SchemaError, Subgraph
 from badgerbend.knowledge.record import Record
--- /dev/null
+++ b/badgerbend/config/module.py
@@ -0,0 +1,49 @@
+"""The decision module's share of the settings."""
+
+from __future__ import annotations
+
+import math
+
+from badgerbend import api
+from badgerbend.config.settings import Settings
+
+
+def module_settings(settings: Settings) -> api.Settings:
+    """What the decision module is told of the settings."""
+    return api.Settings(
+        classes=tuple(
+            api.QueryClass(
+                query_class.aim_ms, query_class.deadline_ms, query_class.effect, query_class.repeat_window_ms,
+                query_class.late_worth, query_class.worth, query_class.need,
+                query_class.need if query_class.floor is None else query_class.floor,
+                query_class.partial, query_class.second_step,
+            )
+            for query_class in settings.class_
+        ),
+        tenants=tuple(api.Tenant(tenant.quota_per_s) for tenant in settings.tenant),
+        broker=settings.identity.index,
+        brokers=settings.identity.count,
+        zone=settings.identity.zone,
+        cells=settings.layout.cells,
+        reach=settings.layout.reach,
+        parts_per_call=settings.servers.parts_per_call,
+        max_attempts=settings.attempts.most,
+        max_open=settings.max_open,
+        second_copies=settings.attempts.second_copies,
+        cancel=settings.attempts.cancel,
+        probing=False,
+        retry_after=settings.advice.retry_after,
+        max_retry_after_ms=settings.advice.max_retry_after_ms,
+        conn_idle_ms=settings.servers.idle_ms,
+        connect_timeout_ms=settings.servers.connect_timeout_ms,
+        list_by_asking=settings.discovery.mode == "ask",
+        must_ask_ms=settings.discovery.must_ask_ms if settings.discovery.mode == "ask" else math.inf,
+        over_share_worth=settings.over_share_worth,
+        cold_from=settings.servers.cold_from,
+        cold_ms=settings.servers.cold_ms,
+        overload_factor=settings.servers.overload_factor,
+        fall_ms=settings.servers.fall_ms,
+        extra_free=settings.attempts.free,
+        extra_share=settings.attempts.share,
+        extra_window_ms=settings.attempts.window_ms,
+    )  # fmt: skip
--- a/badgerbend/peering/service.py
+++ b/badgerbend/peering/service.py
@@ -13,7 +13,8 @@
 from typing import Any
 
 from badgerbend import api
-from badgerbend.config.settings import Peers, Settings, Snapshot
+from badgerbend.config.fleet import Peers
+from badgerbend.config.settings import Settings, Snapshot
 from badgerbend.discovery.directory import Directory
 from badgerbend.disk import write_whole
 from badgerbend.knowledge.record import Record, export
--- a/badgerbend/rota/service.py
+++ b/badgerbend/rota/service.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 from typing import Any
 
-from badgerbend.config.settings import Duties, Settings
+from badgerbend.config.fleet import Duties
+from badgerbend.config.settings import Settings
 from badgerbend.consensus import messages as voting
 from badgerbend.consensus.types import Tuning
 from badgerbend.discovery.directory import Directory
--- a/badgerbend/sites/rules.py
+++ b/badgerbend/sites/rules.py
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """See `config.settings.Sites` for what the values mean. Times in milliseconds, paces a millisecond."""
+    """See `config.fleet.Sites` for what the values mean. Times in milliseconds, paces a millisecond."""
 
     sites: tuple[SiteRule, ...]
     brokers: int
--- a/badgerbend/sites/setup.py
+++ b/badgerbend/sites/setup.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from badgerbend.config.settings import Settings, Sites, module_settings
+from badgerbend.config.fleet import Sites
+from badgerbend.config.module import module_settings
+from badgerbend.config.settings import Settings
 from badgerbend.sites.rules import FAR, NEAR, OWN, Rules, SiteRule
 
 
--- a/badgerbend/siting.py
+++ b/badgerbend/siting.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from badgerbend.config.settings import Settings, Sites
+from badgerbend.config.fleet import Sites
+from badgerbend.config.settings import Settings
 from badgerbend.log import get
 from badgerbend.metrics import Metrics
 from badgerbend.net.client import Pool
--- a/badgerbend/standin/baseline.py
+++ b/badgerbend/standin/baseline.py
@@ -16,7 +16,7 @@
 
 from badgerbend import api
 from badgerbend.broker import Broker, read_subgraph
-from badgerbend.config.settings import load
+from badgerbend.config.reading import load
 from badgerbend.logic import Aggregator
 from badgerbend.process import serve
 from badgerbend.sites.tiers import Tiers
--- a/badgerbend/standin/demo.py
+++ b/badgerbend/standin/demo.py
@@ -12,7 +12,8 @@
 
 from badgerbend import log
 from badgerbend.broker import Broker, read_subgraph
-from badgerbend.config.settings import Log, load
+from badgerbend.config.reading import load
+from badgerbend.config.settings import Log
 from badgerbend.process import until_told
 from badgerbend.standin.client import Client
 from badgerbend.standin.work import Model
--- a/badgerbend/standin/drifted.py
+++ b/badgerbend/standin/drifted.py
@@ -9,7 +9,8 @@
 import uvloop
 
 from badgerbend.broker import Broker, read_subgraph
-from badgerbend.config.settings import Settings, load
+from badgerbend.config.reading import load
+from badgerbend.config.settings import Settings
 from badgerbend.graphql.schema import Subgraph
 from badgerbend.process import serve
 
--- a/badgerbend/standin/scene.py
+++ b/badgerbend/standin/scene.py
@@ -20,19 +20,10 @@
 import msgspec
 
 from badgerbend.config import decode
-from badgerbend.config.settings import (
-    Count,
-    CountOrNone,
-    Duties,
-    Log,
-    NotNegative,
-    Positive,
-    Settings,
-    VoterAt,
-    load,
-    only_form,
-    read_text,
-)
+from badgerbend.config.fleet import Duties, VoterAt
+from badgerbend.config.kinds import Count, CountOrNone, NotNegative, Positive
+from badgerbend.config.reading import load, only_form, read_text
+from badgerbend.config.settings import Log, Settings
 from badgerbend.discovery.members import parse_address
 from badgerbend.duties.messages import Doubt, Told
 from badgerbend.ledger.store import create
--- a/badgerbend/standin/traffic.py
+++ b/badgerbend/standin/traffic.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from badgerbend.config.settings import Count, Name, Positive, ShareOrNone
+from badgerbend.config.kinds import Count, Name, Positive, ShareOrNone
 from badgerbend.net.client import Call, End, Reply
 from badgerbend.standin.client import Client
 from badgerbend.standin.server import Record
--- a/badgerbend/standin/troubles.py
+++ b/badgerbend/standin/troubles.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from badgerbend.config.settings import CountOrNone, Name, NotNegative, Positive, Share
+from badgerbend.config.kinds import CountOrNone, Name, NotNegative, Positive, Share
 from badgerbend.standin.registry import Registry
 from badgerbend.standin.traffic import Asker
 
--- a/benchmarks/listing.py
+++ b/benchmarks/listing.py
@@ -18,12 +18,14 @@
 from badgerbend import Aggregator, api
 from badgerbend.broker import settle_memory
 from badgerbend.config import settings as cfg
+from badgerbend.config.module import module_settings
+from badgerbend.config.reading import load
 from badgerbend.discovery.directory import Directory, Reading
 from badgerbend.sites.setup import rules_of
 from badgerbend.sites.tiers import Tiers
 from badgerbend.standin.registry import Entry
 
-SETTINGS = cfg.load(Path(__file__).parent.parent / "examples" / "sites" / "broker.conf")
+SETTINGS = load(Path(__file__).parent.parent / "examples" / "sites" / "broker.conf")
 CELLS = 100
 
 
@@ -36,7 +38,7 @@
 
 def made() -> Aggregator:
     wide = cfg.Layout(CELLS, CELLS, 3)
-    settings = cfg.module_settings(SETTINGS)
+    settings = module_settings(SETTINGS)
     rules = replace(rules_of(SETTINGS, SETTINGS.sites), cells=CELLS, reach=wide.reach)  # type: ignore[arg-type]
     return Aggregator(replace(settings, cells=CELLS, reach=wide.reach), 1, Tiers(rules, 1))
 
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -27,6 +27,7 @@
 from badgerbend import log, standin
 from badgerbend.broker import Broker, read_subgraph, settle_memory
 from badgerbend.config import settings as cfg
+from badgerbend.config.reading import load as load_settings
 from badgerbend.net.client import Pool, PoolLimits
 from badgerbend.net.server import HttpServer, ServerLimits
 from badgerbend.standin.day import cpu_s
@@ -72,7 +73,7 @@
     for i, port in ports.items():
         registry.entries[f"rates-{i}"] = Entry(f"rates-{i}", port, i % CELLS, 0, 0.0)
     registry.changed()
-    base = cfg.load(CONF)
+    base = load_settings(CONF)
     replace = msgspec.structs.replace
     own = replace(
         base, listen=replace(base.listen, port=0), discovery=replace(base.discovery, port=registry.http.address[1])
--- a/benchmarks/settle.py
+++ b/benchmarks/settle.py
@@ -36,6 +36,8 @@
 from badgerbend import standin as rates
 from badgerbend.broker import Broker, read_subgraph
 from badgerbend.config import settings as cfg
+from badgerbend.config.fleet import Peers
+from badgerbend.config.reading import load
 from badgerbend.knowledge.record import Record, Server, older
 from badgerbend.membership.messages import State
 from badgerbend.net.client import Reply
@@ -103,7 +105,7 @@
         world.servers[name].machine.slower = 15.0
     key = folder / "key"
     key.write_bytes(b"a key of this measurement\n")
-    base = cfg.load(CONF)
+    base = load(CONF)
     graph = read_subgraph(base, CONF)
     replace = msgspec.structs.replace
     all_: list[Broker] = []
@@ -114,7 +116,7 @@
         peers = None
         if with_peers:
             seeds = (seed_at,) if seed_at else ()
-            peers = cfg.Peers((str(key),), seeds, port=0, knowledge_port=0, period_ms=200.0, every_ms=2000.0)
+            peers = Peers((str(key),), seeds, port=0, knowledge_port=0, period_ms=200.0, every_ms=2000.0)
         own = replace(
             base, listen=replace(base.listen, port=0), peers=peers, seed=seed,
             discovery=replace(base.discovery, port=world.registry.http.address[1]),
--- a/benchmarks/snapshot.py
+++ b/benchmarks/snapshot.py
@@ -17,7 +17,8 @@
 from pathlib import Path
 
 from badgerbend import api
-from badgerbend.config import settings as cfg
+from badgerbend.config.module import module_settings
+from badgerbend.config.reading import load
 from badgerbend.disk import write_whole
 from badgerbend.knowledge.record import Answer, Record, Server, decode, encode, export
 from badgerbend.knowledge.trust import Trust
@@ -62,7 +63,7 @@
 
 
 def costs(servers: int) -> None:
-    settings = cfg.module_settings(cfg.load(RATES))
+    settings = module_settings(load(RATES))
     module = Aggregator(settings, 1)
     lines = tuple(api.NodeLine(i, i % 12, api.NodeState.READY, 0.0, 0, 0, 1.0) for i in range(servers))
     module.step(1000.0, [api.View(api.ViewKind.FULL, lines)])
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -9,6 +9,7 @@
 from badgerbend import log, standin
 from badgerbend.broker import Broker, read_subgraph
 from badgerbend.config import settings as cfg
+from badgerbend.config.reading import load
 from badgerbend.standin.client import Client
 from badgerbend.standin.work import Model
 from badgerbend.standin.world import World
@@ -35,7 +36,7 @@
         self.records = []
 
     async def __aenter__(self):
-        base = cfg.load(EXAMPLE)
+        base = load(EXAMPLE)
         lay = base.layout
         self.world = World(lay.shards, lay.cells, lay.reach, 1, self.records.append)
         await self.world.start(self.count, 2, msgspec.structs.replace(self.model))  # tests change theirs
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from badgerbend.broker import read_subgraph
-from badgerbend.config.settings import Documents, load
+from badgerbend.config.reading import load
+from badgerbend.config.settings import Documents
 from badgerbend.graphql.checks import fits
 from badgerbend.graphql.documents import DocumentCache, Rejected
 from badgerbend.graphql.front import _resolve
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -8,7 +8,8 @@
 import pytest
 
 from badgerbend import api
-from badgerbend.config.settings import Duties, VoterAt, parse
+from badgerbend.config.fleet import Duties, VoterAt
+from badgerbend.config.reading import parse
 from badgerbend.config.sexpr import SettingsError
 from badgerbend.consensus.messages import Malformed
 from badgerbend.discovery.members import parse_address
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -9,7 +9,9 @@
 
 from badgerbend import api, logic
 from badgerbend.broker import Broker
-from badgerbend.config.settings import Peers, Snapshot, parse
+from badgerbend.config.fleet import Peers
+from badgerbend.config.reading import parse
+from badgerbend.config.settings import Snapshot
 from badgerbend.config.sexpr import SettingsError
 from badgerbend.disk import write_whole
 from badgerbend.knowledge.record import Answer, Record, Server, encode
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from badgerbend.config import decode, settings, sexpr
+from badgerbend.config import decode, module, reading, settings, sexpr
 
 GOOD = """; a comment
 (broker
@@ -18,11 +18,11 @@
 
 
 def test_a_good_file_is_read_with_its_defaults():
-    got = settings.parse(GOOD, "x.conf")
+    got = reading.parse(GOOD, "x.conf")
     assert got.layout == settings.Layout(24, 12, 4)
     assert got.class_[0].need == 0.75 and got.field[0].rank_by == "monthly"
-    module = settings.module_settings(got)
-    assert module.classes[0].floor == 0.75 and module.cells == 12 and not module.list_by_asking
+    told = module.module_settings(got)
+    assert told.classes[0].floor == 0.75 and told.cells == 12 and not told.list_by_asking
 
 
 @pytest.mark.parametrize(
@@ -52,24 +52,24 @@
     before = marked[: marked.index("@")]
     line, column = before.count("\n") + 1, len(before) - before.rfind("\n")
     with pytest.raises(sexpr.SettingsError) as caught:
-        settings.parse(marked.replace("@", ""), "x.conf")
+        reading.parse(marked.replace("@", ""), "x.conf")
     assert says in str(caught.value)
     assert str(caught.value).startswith(f"x.conf:{line}:{column}: "), str(caught.value)
 
 
 def test_a_field_of_an_unknown_class_is_named():
     with pytest.raises(sexpr.SettingsError, match="rateCompare has class other, which is none of compare"):
-        settings.parse(GOOD.replace("(class compare) (blocks", "(class other) (blocks"), "x.conf")
+        reading.parse(GOOD.replace("(class compare) (blocks", "(class other) (blocks"), "x.conf")
 
 
 def test_what_is_shown_can_be_read_back():
-    got = settings.parse(GOOD, "x.conf")
-    assert settings.parse(f"(broker\n{decode.show(got)}\n)", "shown") == got
+    got = reading.parse(GOOD, "x.conf")
+    assert reading.parse(f"(broker\n{decode.show(got)}\n)", "shown") == got
 
 
 def test_a_missing_file_is_an_error_of_its_own(tmp_path):
     with pytest.raises(sexpr.SettingsError, match="cannot be read"):
-        settings.load(tmp_path / "none.conf")
+        reading.load(tmp_path / "none.conf")
 
 
 def test_deep_nesting_is_refused_before_it_is_walked():
--- a/tests/test_siting.py
+++ b/tests/test_siting.py
@@ -12,14 +12,16 @@
 from badgerbend.broker import Broker
 from badgerbend.cli import app
 from badgerbend.config import settings as cfg
+from badgerbend.config.fleet import Site, Sites
+from badgerbend.config.reading import load, parse
 from badgerbend.config.sexpr import SettingsError
 from badgerbend.net.fetch import fetch
 from badgerbend.standin.day import load_day, play
 
 EXAMPLES = Path(__file__).parent.parent / "examples" / "sites"
 KEY = "a key of enough letters"
-SITES = cfg.Sites(
-    (cfg.Site("north", (0,), 1), cfg.Site("south", (1,), 0)), server_parts_per_s=400.0, watch=0.0, step_ms=50.0,
+SITES = Sites(
+    (Site("north", (0,), 1), Site("south", (1,), 0)), server_parts_per_s=400.0, watch=0.0, step_ms=50.0,
     hold_ms=200.0, key="key",
 )  # fmt: skip
 
@@ -29,7 +31,7 @@
     assert len(days) >= 9
     for path in days:
         assert load_day(path).settings == "broker.conf"
-    assert cfg.load(EXAMPLES / "broker.conf").sites is not None
+    assert load(EXAMPLES / "broker.conf").sites is not None
 
 
 def test_a_short_day_without_a_site_keeps_the_rules_and_its_limit(tmp_path):
@@ -164,7 +166,7 @@
     text = (EXAMPLES / "broker.conf").read_text()
     assert old in text
     with pytest.raises(SettingsError) as err:
-        cfg.parse(text.replace(old, new, 1), "x.conf")
+        parse(text.replace(old, new, 1), "x.conf")
     assert says in str(err.value) and str(err.value).startswith("x.conf:")
 
 
@@ -212,6 +214,6 @@
 
 
 def test_replacing_the_settings_of_a_stage_keeps_their_checks():
-    base = cfg.load(EXAMPLES / "broker.conf")
+    base = load(EXAMPLES / "broker.conf")
     with pytest.raises(ValueError, match="in no site"):
         msgspec.structs.replace(base, identity=cfg.Identity(0, 4, 9)).__post_init__()
