The listing benchmark starts again: it follows discovery's directory and lines

Cause: since discovery was split into directory and lines, benchmarks/listing.py imported names that had moved and passed a body where Directory takes rows. Change: rows come by `listed`, the directory by `consul_directory`.

--- a/benchmarks/listing.py
+++ b/benchmarks/listing.py
@@ -13,12 +13,14 @@
 from dataclasses import replace
 from pathlib import Path
 
+import msgspec
 from results import cell
 
 from badgerbend import Aggregator, api
 from badgerbend.broker import settle_memory
 from badgerbend.config import settings as cfg
-from badgerbend.discovery.lines import Directory, Reading
+from badgerbend.discovery.directory import Directory, Reading, listed
+from badgerbend.discovery.lines import consul_directory
 from badgerbend.sites.setup import rules_of
 from badgerbend.sites.tiers import Tiers
 from badgerbend.standin.registry import Entry
@@ -28,8 +30,6 @@
 
 
 def body(size: int, started: float) -> bytes:
-    import msgspec
-
     rows = [Entry(f"rates-{i}", 1000 + i % 60_000, i % CELLS, i % 2, started).as_json() for i in range(size)]
     return msgspec.json.encode(rows)
 
@@ -54,7 +54,7 @@
 
 def at_once(module: Aggregator, directory: Directory, data: bytes, now: float) -> Iterator[float]:
     def turn() -> None:
-        view, _ = directory.read(data, now, now)
+        view, _ = directory.read(listed(data), now, now)
         step(module, now, view, 1)
 
     yield timed(turn)
@@ -62,7 +62,7 @@
 
 def in_slices(module: Aggregator, directory: Directory, data: bytes, now: float) -> Iterator[float]:
     held: list[Reading] = []
-    yield timed(lambda: held.append(Reading(directory, data, now, now)))
+    yield timed(lambda: held.append(Reading(directory, listed(data), now, now)))
     slices = held[0].slices()
     done = False
     while not done:
@@ -100,8 +100,8 @@
         for way in (at_once, in_slices):
             rows = []
             for _ in range(a.runs):
-                module, directory = made(), Directory(CELLS)
-                view, _ = directory.read(first, 1000.0, 1.0)
+                module, directory = made(), consul_directory(CELLS)
+                view, _ = directory.read(listed(first), 1000.0, 1.0)
                 module.step(1000.0, [view])
                 settle_memory()  # as a broker does once it is started
                 rows.append(list(way(module, directory, second, 2000.0)))
