--- /dev/null
+++ b/benchmarks/scale/query_bytes.py
@@ -0,0 +1,191 @@
+"""What a query costs as bytes: its request and answer in HTTP, its calls and their answers in frames.
+
+The product's own protocols, given bytes by hand: no socket, so the kernel's share is not in it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import cast
+
+import msgspec
+
+from badgerbend.api import Outcome
+from badgerbend.frames import codec
+from badgerbend.frames.channel import Channel
+from badgerbend.net.server import HttpServer, ServerLimits, _Connection
+from badgerbend.platform import names
+from badgerbend.platform.front import Front
+from badgerbend.runtime.driver import Driver
+from badgerbend.runtime.ports import Attempt, PartPlan, QueryPlan, Sink
+from scale.target import CLASS, TENANT, configuration
+
+TEXT = "SELECT id, lender, monthly FROM rates WHERE amount = 5000 AND term = 36 ORDER BY monthly LIMIT 20"
+VALUE = b"0123456789abcdef"
+WAIT_MS = 540.0
+MAX_FRAME = 65_536
+
+
+def request(number: int, shards: Sequence[int]) -> bytes:
+    """A client's query over these shards, as it is sent."""
+    fields = names.PART_FIELDS
+    parts = [
+        {fields["shard"]: shard, fields["weight"]: 1 / len(shards), fields["cost_us"]: 900.0,
+         fields["token"]: f"{shard:016x}"} for shard in shards
+    ]  # fmt: skip
+    body = msgspec.json.encode({names.REQUEST_FIELDS["parts"]: parts, names.REQUEST_FIELDS["text"]: TEXT})
+    head = (
+        b"POST /%s/a HTTP/1.1\r\nhost: b0\r\n%s: q%d\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\ncontent-length: %d\r\n\r\n"
+        % (
+            CLASS.encode(), names.ID, number, names.CLASS, CLASS.encode(), names.TENANT, TENANT.encode(),
+            names.TIME_LEFT, int(WAIT_MS), len(body),
+        )
+    )  # fmt: skip
+    return head + body
+
+
+def answer_frame(part: bytes) -> bytes:
+    """A node's answer for one part."""
+    return codec.frame(names.FRAMES.answer, b"%s served 7 -\n%s" % (part, VALUE))
+
+
+@dataclass(slots=True)
+class Written:
+    """A stand-in for asyncio's transport: bytes are kept, the kernel takes all."""
+
+    data: list[bytes] = field(default_factory=list)
+
+    def write(self, data: bytes) -> None:
+        self.data.append(data)
+
+    def is_closing(self) -> bool:
+        return False
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Nothing is buffered."""
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def abort(self) -> None:
+        """Nothing is open."""
+
+
+class TakingDriver:
+    """In the driver's place: keeps the query that the front hands over, and its sink."""
+
+    def __init__(self) -> None:
+        self.taken: list[tuple[QueryPlan, Sink]] = []
+
+    def submit(self, plan: QueryPlan, sink: Sink) -> int:
+        self.taken.append((plan, sink))
+        return len(self.taken)
+
+
+class ChannelOwner:
+    """In the transport's place: keeps how attempts ended."""
+
+    def __init__(self) -> None:
+        self.names, self.streams, self.max_frame = names.FRAMES, 64, MAX_FRAME
+        self.ends: list[tuple[Outcome, bytes | None]] = []
+
+    def now_ms(self) -> float:
+        return time.monotonic() * 1000.0
+
+    def ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None) -> None:
+        self.ends.append((outcome, value))
+
+    def forget(self, channel: Channel) -> None:
+        """Channels stay up."""
+
+    def freed(self, channel: Channel) -> None:
+        """Channels stay up."""
+
+    def give_up(self, channel: Channel) -> None:
+        """Channels stay up."""
+
+    def trouble(self, what: str, detail: str) -> None:
+        raise ValueError(f"{what}: {detail}")
+
+
+@dataclass(frozen=True, slots=True)
+class BytesCost:
+    """Of one query: processor time in seconds, and bytes. codec_s is within channel_s."""
+
+    http_s: float
+    channel_s: float
+    codec_s: float
+    client_bytes: int  # request and answer
+    node_bytes: int  # calls and answers
+
+
+class QueryBytes:
+    """One client's connection and one channel a part, on a running loop."""
+
+    def __init__(self, parts: int, cells: int) -> None:
+        loop = asyncio.get_running_loop()
+        config = configuration(cells)
+        self.shards = range(min(parts, config.shards))
+        self.driver = TakingDriver()
+        front = Front(config, cast(Driver, self.driver), lambda: True)
+        self.client, self.connection = Written(), _Connection(HttpServer(front.handle, ServerLimits()), loop)
+        self.connection.connection_made(cast(asyncio.Transport, self.client))
+        self.owner = ChannelOwner()
+        self.wires = [Written() for _ in self.shards]
+        self.channels = [Channel(self.owner, node, loop) for node in self.shards]
+        for channel, wire in zip(self.channels, self.wires, strict=True):
+            channel.connection_made(cast(asyncio.Transport, wire))
+
+    def query(self, number: int) -> BytesCost:
+        """One query through all of it. Raises ValueError if it is not answered whole."""
+        data = request(number, self.shards)
+        taken = time.process_time()
+        self.connection.data_received(data)
+        read_s = time.process_time() - taken
+        plan, sink = self.driver.taken.pop()
+        channel_s = self._channels(plan.parts, number)
+        codec_s, node_bytes = self._codec(plan.parts)
+        results = [(part, cast(object, VALUE)) for part in plan.parts]
+        began = time.process_time()
+        sink.answered(results, True)
+        http_s = read_s + time.process_time() - began
+        answer = b"".join(self.client.data)
+        self.client.data.clear()
+        if answer.count(VALUE) != len(self.shards):
+            raise ValueError(f"no whole answer: {answer[:200]!r}")
+        return BytesCost(http_s, channel_s, codec_s, len(data) + len(answer), node_bytes)
+
+    def _channels(self, parts: Sequence[PartPlan], number: int) -> float:
+        """Calls written and answers read by the channels, the codec within."""
+        now_ms = self.owner.now_ms()
+        attempts = [Attempt(i, 0, i, part, number, now_ms, WAIT_MS, now_ms + WAIT_MS) for i, part in enumerate(parts)]
+        answers = [answer_frame(_ask(part).id) for part in parts]
+        began = time.process_time()
+        for channel, attempt, answer in zip(self.channels, attempts, answers, strict=True):
+            channel.send([attempt])
+            channel.data_received(answer)
+        took = time.process_time() - began
+        served, self.owner.ends = [end for end in self.owner.ends if end == (Outcome.OK, VALUE)], []
+        if len(served) != len(parts):
+            raise ValueError(f"{len(served)} answers of {len(parts)}")
+        for wire in self.wires:
+            wire.data.clear()
+        return took
+
+    def _codec(self, parts: Sequence[PartPlan]) -> tuple[float, int]:
+        """The codec alone: seconds, and the bytes to and from the nodes."""
+        answers = [answer_frame(_ask(part).id) for part in parts]
+        decoder, size = codec.Decoder(names.FRAMES, MAX_FRAME), 0
+        began = time.process_time()
+        for part, answer in zip(parts, answers, strict=True):
+            size += len(codec.call(names.FRAMES, [(_ask(part), WAIT_MS)]))
+            decoder.feed(answer)
+        return time.process_time() - began, size + sum(map(len, answers))
+
+
+def _ask(part: PartPlan) -> codec.Ask:
+    assert isinstance(part.payload, codec.Ask)
+    return part.payload
