--- a/benchmarks/scale/lists.py
+++ b/benchmarks/scale/lists.py
@@ -38,7 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Cost:
-    """The middle of several answers of one kind. query_ms: the step on the first query after it."""
+    """The middle of several answers of one kind, and the bytes of the largest: a state's word may be short or long.
+
+    query_ms: the step on the first query after it.
+    """
 
     body_bytes: int
     read_ms: float
@@ -85,13 +88,12 @@
 
 
 def _cost(found: Sequence[tuple[Taken, float]]) -> Cost:
-    last = found[-1][0]
     return Cost(
-        last.body_bytes,
+        max(taken.body_bytes for taken, _ in found),
         median(taken.read_ms for taken, _ in found),
         median(taken.tell_ms for taken, _ in found),
         median(query_ms for _, query_ms in found),
-        last.rows_told,
+        found[-1][0].rows_told,
     )
 
 
--- a/benchmarks/scale/queries.py
+++ b/benchmarks/scale/queries.py
@@ -109,13 +109,17 @@
 
 def over_sockets(parts: int) -> Iterator[Figure]:
     """The whole service, its kernel time with it."""
-    cost = measured(parts)
-    scenario, served = "loopback, 4 nodes a part", cost.served
-    yield _figure(scenario, "whole broker", "µs a query", parts, cost.cpu_s * MICROSECONDS, Kind.LOOPBACK)
-    cores = cost.cpu_s * QUERIES_PER_BROKER_S
+    scenario, costs = "loopback, 4 nodes a part", measured(parts)
+    cpu_s = median(cost.cpu_s / cost.served.queries for cost in costs)
+    queries = sum(cost.served.queries for cost in costs)
+    seen, whole = sum(cost.served.parts for cost in costs), sum(cost.served.whole for cost in costs)
+    opened = sum(cost.opened for cost in costs)
+    yield _figure(scenario, "whole broker", "µs a query", parts, cpu_s * MICROSECONDS, Kind.LOOPBACK)
+    cores = cpu_s * QUERIES_PER_BROKER_S
     yield _figure(scenario, "whole broker, at its share of queries", "cores", parts, cores, Kind.LOOPBACK)
-    yield _figure(scenario, "parts that nodes saw", "a query", parts, served.parts / served.queries, Kind.LOOPBACK)
-    yield _figure(scenario, "answered whole", "of queries", parts, served.whole / served.queries, Kind.LOOPBACK)
+    yield _figure(scenario, "connections opened", "a query", parts, opened / queries, Kind.LOOPBACK)
+    yield _figure(scenario, "parts that nodes saw", "a query", parts, seen / queries, Kind.LOOPBACK)
+    yield _figure(scenario, "answered whole", "of queries", parts, whole / queries, Kind.LOOPBACK)
 
 
 def measure(sizes: Sequence[int], seed: int) -> list[Figure]:
--- a/benchmarks/scale/query_sockets.py
+++ b/benchmarks/scale/query_sockets.py
@@ -27,13 +27,13 @@
 BENCHMARKS = Path(__file__).parent.parent
 NODES_PER_CELL = 4
 AIM_MS = 5_000.0  # two processes on a busy machine: none is refused or repeated for being late
-WARM, COUNTED = 100, 200  # queries
+WARM, COUNTED, REPEATS = 100, 60, 5  # queries, and how often so many are counted
 AT_ONCE = 2
 LIMIT_S = 300.0
 
 
 class Served(msgspec.Struct):
-    """What the nodes saw of the queries counted."""
+    """What client and nodes saw of the queries of one count."""
 
     queries: int
     whole: int
@@ -42,14 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SocketCost:
-    """cpu_s: of the broker, for one query."""
+    """One count. cpu_s: processor time of the broker; opened: connections that it opened to nodes meanwhile."""
 
     cpu_s: float
+    opened: int
     served: Served
 
 
-def measured(parts: int) -> SocketCost:
-    """One broker in this process, its surroundings in another."""
+def measured(parts: int) -> list[SocketCost]:
+    """One broker in this process, its surroundings in another; the counts one after another."""
     path = os.pathsep.join([str(BENCHMARKS.parent), str(BENCHMARKS)])
     surroundings = subprocess.Popen(
         [sys.executable, __file__, str(parts)], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
@@ -62,7 +63,7 @@
         surroundings.wait()
 
 
-async def _broker(parts: int, surroundings: subprocess.Popen[str]) -> SocketCost:
+async def _broker(parts: int, surroundings: subprocess.Popen[str]) -> list[SocketCost]:
     assert surroundings.stdin and surroundings.stdout
     loop, read_line = asyncio.get_running_loop(), surroundings.stdout.readline
     agent_port = int(await loop.run_in_executor(None, read_line))
@@ -73,14 +74,16 @@
     surroundings.stdin.write(f"{port}\n")
     surroundings.stdin.flush()
     await loop.run_in_executor(None, read_line)  # warm
-    began = time.process_time()
-    line = await loop.run_in_executor(None, read_line)
-    took = time.process_time() - began
-    served = msgspec.json.decode(line, type=Served)
+    costs = []
+    for _ in range(REPEATS):
+        began, opened = time.process_time(), service.transport.opened
+        line = await loop.run_in_executor(None, read_line)
+        took, opened = time.process_time() - began, service.transport.opened - opened
+        costs.append(SocketCost(took, opened, msgspec.json.decode(line, type=Served)))
     service.watch.close()
     service.transport.close()
     await service.server.close(0.0)
-    return SocketCost(took / served.queries, served)
+    return costs
 
 
 class Client:
@@ -121,10 +124,11 @@
     client = Client(port, parts)
     await client.ask(WARM)
     print("warm", flush=True)
-    before = _parts(nodes)
-    whole = await client.ask(COUNTED)
-    served = Served(COUNTED, whole, _parts(nodes) - before)
-    print(msgspec.json.encode(served).decode(), flush=True)
+    for _ in range(REPEATS):
+        before = _parts(nodes)
+        whole = await client.ask(COUNTED)
+        served = Served(COUNTED, whole, _parts(nodes) - before)
+        print(msgspec.json.encode(served).decode(), flush=True)
     await asyncio.Event().wait()
 
 
--- /dev/null
+++ b/tests/test_capacity_lists.py
@@ -0,0 +1,174 @@
+"""The scale tests of lists and queries at their small sizes: counts and slopes, which no busy machine changes."""
+
+import sys
+from functools import cache
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
+
+from scale import lists, queries
+from scale.figures import fitted
+from scale.list_reading import Reader
+from scale.list_rows import FORMS, ConsulForm, MembersForm, nodes_of, turned
+from scale.query_load import Fleet, QueryLoad
+from scale.target import BROKERS, PARTS, QUERIES_PER_BROKER_S, QUERIES_PER_S, ZONES
+
+SEED = 1
+LIST_SIZES, QUERY_SIZES = lists.PART.small, queries.PART.small
+FORM_NAMES = [form.name for form in FORMS]
+SECOND_COPIES_MOST = 1.25  # over loopback a busy machine makes answers late, and late parts are sent again
+
+
+@cache
+def figures(part):
+    return part.measure(part.small, SEED)
+
+
+def by_size(part, scenario, quantity):
+    """The figures of one quantity; there must be one a size."""
+    found = [f for f in figures(part) if (f.scenario, f.quantity) == (scenario, quantity)]
+    assert [f.size for f in found] == list(part.small)
+    return found
+
+
+def values(part, scenario, quantity):
+    return [f.value for f in by_size(part, scenario, quantity)]
+
+
+def simulated_scenarios():
+    return [f"{fleet.nodes:,} nodes, {fleet.holders} holders a shard" for fleet in queries.SMALL_PLAN.fleets]
+
+
+# -- lists
+@pytest.mark.parametrize("form", FORM_NAMES)
+def test_a_whole_list_grows_by_the_same_bytes_with_each_node(form):
+    line = fitted(by_size(lists.PART, f"{form}: whole", "answer"))
+    assert line.determination > 0.99
+    assert line.slope * LIST_SIZES[-1] == pytest.approx(line.at(LIST_SIZES[-1]), rel=0.02)  # nothing but rows
+
+
+def test_a_row_of_consul_is_larger_than_one_of_the_members():
+    consul, members = (fitted(by_size(lists.PART, f"{form}: whole", "answer")) for form in ("consul", "members"))
+    assert consul.slope > 4 * members.slope > 0
+
+
+def test_consul_sends_the_whole_list_for_one_row():
+    whole, one = (values(lists.PART, f"consul: {what}", "answer") for what in ("whole", "one row"))
+    assert one == pytest.approx(whole, rel=0.01)
+
+
+def test_the_members_delta_of_one_row_does_not_grow_with_the_nodes():
+    one = values(lists.PART, "members: one row", "answer")
+    assert max(one) - min(one) <= 4  # digits of numbers in it
+    assert max(one) < 400
+
+
+def test_the_members_delta_of_a_zone_grows_with_the_zone():
+    zone = fitted(by_size(lists.PART, "members: a zone", "answer"))
+    whole = fitted(by_size(lists.PART, "members: whole", "answer"))
+    assert zone.determination > 0.99 and zone.slope == pytest.approx(whole.slope / ZONES, rel=0.1)
+
+
+@pytest.mark.parametrize("form", FORM_NAMES)
+def test_the_module_is_told_of_what_changed_and_of_nothing_else(form):
+    told = "rows told to the module"
+    assert values(lists.PART, f"{form}: whole", told) == list(LIST_SIZES)
+    assert values(lists.PART, f"{form}: one row", told) == [1] * len(LIST_SIZES)
+    assert values(lists.PART, f"{form}: a zone", told) == [-(-size // ZONES) for size in LIST_SIZES]
+
+
+@pytest.mark.parametrize("form", FORM_NAMES)
+def test_a_days_bytes_are_its_changes_times_an_answer(form):
+    day, one = (values(lists.PART, f"{form}: {what}", q) for what, q in
+                (("ordinary day", "answers to a broker"), ("one row", "answer")))  # fmt: skip
+    assert lists.CHANGES_PER_DAY == 5_100 * 4 + 3_200 + 28
+    assert day == pytest.approx([size * lists.CHANGES_PER_DAY / 86_400 for size in one])
+
+
+@pytest.mark.parametrize("form", FORM_NAMES)
+def test_memory_of_a_list_grows_and_its_peak_holds_what_stays(form):
+    resident = values(lists.PART, f"{form}: whole", "resident memory once taken")
+    peak = values(lists.PART, f"{form}: whole", "peak memory of the next whole list")
+    assert resident[-1] > resident[0] >= 0
+    assert all(most >= stays for most, stays in zip(peak, resident, strict=True))
+
+
+@pytest.mark.parametrize("form", FORMS, ids=FORM_NAMES)
+def test_a_list_that_is_read_is_the_list_that_was_sent(form):
+    nodes = nodes_of(40, 10)
+    reader = Reader(form, 10)
+    reader.take(form.whole(nodes, 1))
+    changed = turned(nodes, [3, 7])
+    reader.take(form.change(changed, [3, 7], 2))
+    states = {name: known.line.state.name for name, known in reader.directory.known.items()}
+    assert states == {node.name: "DRAINING" if node.draining else "READY" for node in changed}
+    assert sum(state == "DRAINING" for state in states.values()) == 2
+
+
+def test_an_answer_without_news_is_no_measurement():
+    for form in (ConsulForm(), MembersForm()):
+        reader = Reader(form, 10)
+        reader.take(form.whole(nodes_of(40, 10), 1))
+        with pytest.raises(ValueError, match="without news"):
+            reader.take(form.change(nodes_of(40, 10), [], 1))
+
+
+# -- queries
+@pytest.mark.parametrize("scenario", simulated_scenarios())
+def test_each_part_is_sent_once_and_answered_once(scenario):
+    assert values(queries.PART, scenario, "sends") == list(QUERY_SIZES)
+    assert values(queries.PART, scenario, "answers of nodes") == list(QUERY_SIZES)
+    assert values(queries.PART, scenario, "answered whole") == [1.0] * len(QUERY_SIZES)
+    assert values(queries.PART, scenario, "refused or failed") == [0.0] * len(QUERY_SIZES)
+
+
+@pytest.mark.parametrize("scenario", simulated_scenarios())
+def test_a_query_of_more_parts_takes_more_steps_but_not_one_a_part_each(scenario):
+    steps = values(queries.PART, scenario, "steps")
+    assert steps == sorted(steps) and steps[0] >= 2
+    assert steps[-1] < QUERY_SIZES[-1]  # answers of one millisecond share a turn
+
+
+def test_the_count_of_sends_shows_attempts_that_are_repeated():
+    load = QueryLoad(Fleet(100, 25, 3), 4, SEED, lost=lambda number: number == 0)
+    load.run(20)
+    total = load.finish()
+    assert total.sends > 4 * total.queries and total.ends == total.sends
+
+
+def test_a_load_comes_at_a_brokers_share_of_the_queries():
+    load = QueryLoad(Fleet(100, 25, 3), 2, SEED)
+    counts = load.run(200)
+    assert QUERIES_PER_S / BROKERS == QUERIES_PER_BROKER_S
+    assert counts.queries == pytest.approx(0.2 * QUERIES_PER_BROKER_S, abs=1)
+
+
+def test_the_same_seed_gives_the_same_counts():
+    def counts(seed):
+        load = QueryLoad(Fleet(100, 25, 3), 4, seed)
+        load.run(100)
+        total = load.finish()
+        return total.queries, total.sends, total.steps
+
+    assert counts(1) == counts(1)
+
+
+@pytest.mark.parametrize("side", ["from and to the client", "from and to the nodes"])
+def test_bytes_of_a_query_grow_by_the_same_with_each_part(side):
+    line = fitted(by_size(queries.PART, "bytes alone", side))
+    assert line.determination > 0.99 and line.slope > 100
+
+
+def test_over_sockets_the_nodes_see_every_part_and_every_query_is_answered_whole():
+    scenario = "loopback, 4 nodes a part"
+    assert values(queries.PART, scenario, "answered whole") == [1.0] * len(QUERY_SIZES)
+    for size, seen in zip(QUERY_SIZES, values(queries.PART, scenario, "parts that nodes saw"), strict=True):
+        assert size <= seen <= SECOND_COPIES_MOST * size
+
+
+def test_the_full_sizes_reach_the_fleet_to_come():
+    assert lists.PART.full[-1] == lists.PART.target == 13_000
+    assert queries.PART.full[-1] == queries.PART.target == PARTS == 210
+    assert max(fleet.nodes for fleet in queries.FULL_PLAN.fleets) == 13_000
