The peak memory of a list is that of its own process

Cause: getrusage's peak outlives exec, so the measuring child began with the peak of its parent: members' peak read 94.6 MB at 1,000, 4,000 and 13,000 nodes alike, which was the parent's. Change: resident size and peak are read from /proc/self/status; a test holds ballast in the parent. Measured: the new test fails with getrusage and passes now.

--- a/benchmarks/scale/list_memory.py
+++ b/benchmarks/scale/list_memory.py
@@ -10,7 +10,6 @@
 
 import gc
 import os
-import resource
 import subprocess
 import sys
 import tempfile
@@ -26,7 +25,6 @@
 BENCHMARKS = Path(__file__).parent.parent
 WARM_NODES = 10  # read first, so that what the first list of all brings with it is not counted
 MEGABYTE = 1_048_576
-PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
 class ListMemory(msgspec.Struct):
@@ -50,12 +48,21 @@
     return msgspec.json.decode(done.stdout, type=ListMemory)
 
 
+def _status(field: str) -> int:
+    """A size of this process that the kernel states, in bytes.
+
+    Not by getrusage: its peak outlives exec, so that a child starts with that of its parent.
+    """
+    line = next(line for line in Path("/proc/self/status").read_text().splitlines() if line.startswith(f"{field}:"))
+    return int(line.split()[1]) * 1024
+
+
 def _resident() -> int:
-    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE
+    return _status("VmRSS")
 
 
 def _peak() -> int:
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+    return _status("VmHWM")
 
 
 def _answer(form: ListForm, file: str, version: int) -> Reply:
--- a/tests/test_capacity_lists.py
+++ b/tests/test_capacity_lists.py
@@ -10,6 +10,7 @@
 
 from scale import lists, queries
 from scale.figures import fitted
+from scale.list_memory import MEGABYTE, memory_of
 from scale.list_reading import Reader
 from scale.list_rows import FORMS, ConsulForm, MembersForm, nodes_of, turned
 from scale.query_load import Fleet, QueryLoad
@@ -95,6 +96,12 @@
     assert all(most >= stays for most, stays in zip(peak, resident, strict=True))
 
 
+def test_memory_of_a_list_holds_nothing_of_the_process_that_asks():
+    ballast = b"x" * 100 * MEGABYTE
+    memory = memory_of(MembersForm(), nodes_of(200, 50), 50)
+    assert 0 < memory.peak < len(ballast) / 4
+
+
 @pytest.mark.parametrize("form", FORMS, ids=FORM_NAMES)
 def test_a_list_that_is_read_is_the_list_that_was_sent(form):
     nodes = nodes_of(40, 10)
