--- a/benchmarks/listing.py
+++ b/benchmarks/listing.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+import msgspec
 from results import cell
 
 from badgerbend import Aggregator, api
@@ -20,7 +21,8 @@
 from badgerbend.config import settings as cfg
 from badgerbend.config.module import module_settings
 from badgerbend.config.reading import load
-from badgerbend.discovery.directory import Directory, Reading
+from badgerbend.discovery.directory import Directory, Reading, listed
+from badgerbend.discovery.lines import consul_directory
 from badgerbend.sites.setup import rules_of
 from badgerbend.sites.tiers import Tiers
 from badgerbend.standin.registry import Entry
@@ -30,8 +32,6 @@
 
 
 def body(size: int, started: float) -> bytes:
-    import msgspec
-
     rows = [Entry(f"rates-{i}", 1000 + i % 60_000, i % CELLS, i % 2, started).as_json() for i in range(size)]
     return msgspec.json.encode(rows)
 
@@ -56,7 +56,7 @@
 
 def at_once(module: Aggregator, directory: Directory, data: bytes, now: float) -> Iterator[float]:
     def turn() -> None:
-        view, _ = directory.read(data, now, now)
+        view, _ = directory.read(listed(data), now, now)
         step(module, now, view, 1)
 
     yield timed(turn)
@@ -64,7 +64,7 @@
 
 def in_slices(module: Aggregator, directory: Directory, data: bytes, now: float) -> Iterator[float]:
     held: list[Reading] = []
-    yield timed(lambda: held.append(Reading(directory, data, now, now)))
+    yield timed(lambda: held.append(Reading(directory, listed(data), now, now)))
     slices = held[0].slices()
     done = False
     while not done:
@@ -102,8 +102,8 @@
         for way in (at_once, in_slices):
             rows = []
             for _ in range(a.runs):
-                module, directory = made(), Directory(CELLS)
-                view, _ = directory.read(first, 1000.0, 1.0)
+                module, directory = made(), consul_directory(CELLS)
+                view, _ = directory.read(listed(first), 1000.0, 1.0)
                 module.step(1000.0, [view])
                 settle_memory()  # as a broker does once it is started
                 rows.append(list(way(module, directory, second, 2000.0)))
