The test of lists and queries looks for benchmarks last, after the tests' own modules

Cause: put first on the path, a module of benchmarks could hide one of another test. Change: it is appended.

--- a/tests/test_capacity_lists.py
+++ b/tests/test_capacity_lists.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-sys.path.insert(0, str(Path(__file__).parent.parent / "benchmarks"))
+sys.path.append(str(Path(__file__).parent.parent / "benchmarks"))
 
 from scale import lists, queries
 from scale.figures import fitted
