The simulated network of members keeps a heap of wake-ups

Cause: Network.run asked every member for its next time at each event, so that a run's cost grew with members times events.

Change: a heap of wake-ups; stale entries are dropped as they surface. The order of events at equal times matters and is the old one: datagrams before ticks, ticks by name. The class attribute `member_kind` lets a benchmark meter its members.

--- a/badgerbend/standin/network.py
+++ b/badgerbend/standin/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections.abc import Callable
 from itertools import count
@@ -12,7 +13,12 @@
 
 
 class Network:
-    """Members on one simulated clock. All chance comes from the seed."""
+    """Members on one simulated clock. All chance comes from the seed.
+
+    At equal times datagrams arrive before members tick, and members tick in the order of their names.
+    """
+
+    member_kind: type[Swim] = Swim
 
     def __init__(self, seed: int, tuning: Tuning = Tuning()) -> None:  # noqa: B008 - frozen
         self.rng, self.tuning = random.Random(seed), tuning
@@ -24,6 +30,8 @@
         self.sent = self.bytes = 0
         self.events: list[tuple[float, str, Changed]] = []
         self._flying: list[tuple[float, int, str, bytes, Address]] = []
+        self._wakeups: list[tuple[float, str]] = []  # a heap; an entry is stale where its member wakes at another time
+        self._wakes_at: dict[str, float] = {}  # the newest entry of each member
         self._order = count()
         self._incarnations = count(1)
 
@@ -33,7 +41,7 @@
     def start(self, name: str, seeds: tuple[str, ...] = ()) -> Swim:
         """A member begins, or begins again in a new life."""
         life = next(self._incarnations) * 1000
-        member = Swim(name, self.address(name), life, "", self.tuning, self.rng.getrandbits(32))
+        member = self.member_kind(name, self.address(name), life, "", self.tuning, self.rng.getrandbits(32))
         self.members[name] = member
         self.sides.setdefault(name, 0)
         member.join(self.now, tuple(self.address(s) for s in seeds))
@@ -51,11 +59,12 @@
     def run(self, seconds: float, until: Callable[[], bool] | None = None) -> bool:
         """Lets time pass; True as soon as `until` holds, which is asked twenty times a period."""
         end, look = self.now + seconds, self.now
+        for name in self.members:  # one may have been driven from outside since the last run
+            self._schedule(name)
         while True:
-            due = [(m.next_at, 0, n) for n, m in self.members.items()]
-            nxt = min(due, default=(float("inf"), 0, ""))
-            flying = self._flying[0][0] if self._flying else float("inf")
-            at = min(nxt[0], flying)
+            wakeup = self._next_wakeup()
+            arrival = self._flying[0][0] if self._flying else math.inf
+            at = min(wakeup, arrival)
             if until is not None and at >= look:
                 look = max(at, self.now) + self.tuning.period / 20
                 if until():
@@ -64,18 +73,50 @@
                 self.now = end
                 return until is not None and until()
             self.now = max(self.now, at)
-            if flying <= nxt[0]:
-                _, _, name, data, source = heapq.heappop(self._flying)
-                member = self.members.get(name)
-                if member is not None and self.sides[name] == self.sides.get(source[0], 0):
-                    member.receive(self.now, data, source)
-                    self._collect(name)
+            if arrival <= wakeup:
+                self._deliver()
             else:
-                self.members[nxt[2]].tick(self.now)
-                self._collect(nxt[2])
+                self._tick()
+
+    def _schedule(self, name: str) -> None:
+        """Sees to it that the heap holds an entry for when this member has something to do."""
+        at = self.members[name].next_at
+        if self._wakes_at.get(name) != at:
+            self._wakes_at[name] = at
+            heapq.heappush(self._wakeups, (at, name))
+
+    def _next_wakeup(self) -> float:
+        """When the first member wakes; stale entries before it are dropped."""
+        while self._wakeups:
+            at, name = self._wakeups[0]
+            member = self.members.get(name)
+            if member is not None and member.next_at == at:
+                return at
+            self._drop_wakeup()
+        return math.inf
+
+    def _drop_wakeup(self) -> str:
+        """Takes the first entry off the heap; returns its member."""
+        at, name = heapq.heappop(self._wakeups)
+        if self._wakes_at.get(name) == at:
+            del self._wakes_at[name]
+        return name
+
+    def _deliver(self) -> None:
+        _, _, name, data, source = heapq.heappop(self._flying)
+        member = self.members.get(name)
+        if member is not None and self.sides[name] == self.sides.get(source[0], 0):
+            member.receive(self.now, data, source)
+            self._collect(name)
+
+    def _tick(self) -> None:
+        name = self._drop_wakeup()
+        self.members[name].tick(self.now)
+        self._collect(name)
 
     def _collect(self, name: str) -> None:
         out, events = self.members[name].take()
+        self._schedule(name)
         self.events += [(self.now, name, e) for e in events]
         for (to, _), data in out:
             self.sent += 1
