Scale tests of membership and of brokers up to 1,900 members

Cause: nothing said what membership, records, duties and voters cost a fleet of 1,900 brokers over 13,000 nodes, nor which limits it would break.

--- /dev/null
+++ b/benchmarks/scale/dealers.py
@@ -0,0 +1,61 @@
+"""What dealing cold allowance costs its holder, by brokers: one server is cold, and every broker asks for it.
+
+Measured is the product's `Dealer` alone: an answer counts decoding, dealing and encoding.
+"""
+
+from __future__ import annotations
+
+import time
+
+from badgerbend.duties.allowance import Dealer, Lengths
+from badgerbend.duties.messages import Ask, Need, decode_act, encode
+from badgerbend.rota.dealing import ASKS, DEAL
+from scale.figures import Figure, Kind
+
+LENGTHS = Lengths(slice_ms=1000.0, rate=0.01)  # the defaults of the settings
+ASKED_MOST = 400  # asks that are measured, spread over all brokers
+OWN, WANTED = 0.01, 0.02  # parts a ms: more is wanted than is there, so that all of it is dealt
+
+
+def ask(broker: int, seq: int) -> bytes:
+    wanted = WANTED if broker % 2 else 0.0
+    return encode(Ask(f"broker-{broker}", DEAL, seq, (Need("node-00001.zone-1", 1.0, OWN, wanted, 0),)))
+
+
+def answer_s(brokers: int) -> tuple[float, int]:
+    """Processor seconds of one answer when all brokers are in the books, and the bytes of an ask and its answer."""
+    dealer = Dealer("broker-0", DEAL, LENGTHS)
+    dealer.begin(0.0)
+    now = LENGTHS.booked_ms / 2  # nothing is dealt yet, all are noted
+    for broker in range(brokers):
+        dealer.ask(now, 1, read(ask(broker, 1)))
+    step = max(1, brokers // ASKED_MOST)
+    asks = [ask(broker, 2) for broker in range(0, brokers, step)]
+    now = LENGTHS.booked_ms + 1.0
+    sizes = 0
+    began = time.process_time()
+    for data in asks:
+        dealt = dealer.ask(now, 1, read(data))
+        if dealt is None:
+            raise RuntimeError("a dealer that may deal gave no answer")
+        sizes += len(data) + len(encode(dealt))
+    return (time.process_time() - began) / len(asks), sizes // len(asks)
+
+
+def read(data: bytes) -> Ask:
+    act = decode_act(data)
+    if not isinstance(act, Ask):
+        raise TypeError(f"{type(act).__name__} is no ask")
+    return act
+
+
+def figures(brokers: int) -> list[Figure]:
+    took_s, pair_bytes = answer_s(brokers)
+    asks = brokers * ASKS / (LENGTHS.slice_ms / 1000.0)
+    rows = (
+        ("asks, all brokers", "1/s", asks, Kind.SIMULATED),
+        ("processor time an ask", "ms", took_s * 1000.0, Kind.MEASURED),
+        ("processor time of the dealer", "ms/s", took_s * asks * 1000.0, Kind.MEASURED),
+        ("bytes of the dealer, both ways", "B/s", pair_bytes * asks, Kind.MEASURED),
+    )
+    return [Figure("brokers", "one cold server", what, unit, brokers, value, kind) for what, unit, value, kind in rows]
--- /dev/null
+++ b/benchmarks/scale/dutyfleet.py
@@ -0,0 +1,244 @@
+"""Voters and brokers that stand for duties, in simulated time: the product's `Voter` and `Holder` over a plain network.
+
+Nothing is lost and no clock is off: what is measured is the cost of a sound fleet. The first brokers are its voters.
+A datagram is the body that goes under the seal; the seal's 33 bytes and those of UDP are not counted.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import cast
+
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus.log import Kept, Log
+from badgerbend.consensus.raft import Tuning
+from badgerbend.duties.holder import Holder, Terms
+from badgerbend.duties.messages import Leave, Told, Want
+from badgerbend.duties.voter import Voter
+from badgerbend.rota import wire
+from badgerbend.rota.dealing import DEAL
+from badgerbend.rota.service import PROBE
+
+VOTERS = ("broker-0", "broker-1", "broker-2")
+REGIONS = 3  # each has probing as a duty of its own; dealing is one for all
+TERMS = Terms()
+TUNING = Tuning(election_s=0.5, beat_s=0.1)  # the defaults of the settings
+DELAY_S = (0.001, 0.01)
+DISK_S = (0.001, 0.005)  # until a write is surely kept
+
+
+@dataclass(slots=True)
+class Use:
+    """What one process has used. The times are those within the pure cores, with decoding and encoding."""
+
+    received: int = 0
+    sent: int = 0
+    bytes_received: int = 0
+    bytes_sent: int = 0
+    messages_s: float = 0.0
+    ticks_s: float = 0.0
+
+    def minus(self, earlier: Use) -> Use:
+        return Use(
+            self.received - earlier.received,
+            self.sent - earlier.sent,
+            self.bytes_received - earlier.bytes_received,
+            self.bytes_sent - earlier.bytes_sent,
+            self.messages_s - earlier.messages_s,
+            self.ticks_s - earlier.ticks_s,
+        )
+
+    def copy(self) -> Use:
+        return self.minus(Use())
+
+
+@dataclass(slots=True)
+class Process:
+    """A broker, and its vote where it has one. Each is woken on its own."""
+
+    holder: Holder
+    voter: Voter | None
+    up: bool = True
+    holder_use: Use = field(default_factory=Use)
+    voter_use: Use = field(default_factory=Use)
+    wakes_at: dict[bool, float] = field(default_factory=dict)  # by whether it is the vote's
+
+
+def duties_of(number: int) -> dict[str, bool]:
+    """What the broker of this number stands for: probing in its own region, and dealing."""
+    return {f"{PROBE}:region-{number % REGIONS}": True, DEAL: True}
+
+
+class DutyFleet:
+    """Brokers and voters on one simulated clock. All chance comes from the seed."""
+
+    def __init__(self, brokers: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now, self._order = 0.0, count()
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self.processes: dict[str, Process] = {}
+        for number in range(brokers):
+            self._start(number)
+
+    def _start(self, number: int) -> None:
+        name = f"broker-{number}"
+        voter = None
+        if name in VOTERS:
+            voter = Voter(name, new_store(), TUNING, TERMS, self.rng.getrandbits(32), self.now)
+        at = f"10.123.{number // 256}.{number % 256}:7960"
+        holder = Holder(name, at, duties_of(number), VOTERS, TERMS, self.rng.getrandbits(32), self.now)
+        self.processes[name] = Process(holder, voter)
+        self._wake(name)
+
+    # -- what is asked of it
+    def run(self, seconds: float, until: Callable[[], bool] | None = None) -> bool:
+        """Lets time pass; True as soon as `until` holds."""
+        end = self.now + seconds
+        while self._due and self._due[0][0] <= end:
+            self.now, _, what = heapq.heappop(self._due)
+            what()
+            if until is not None and until():
+                return True
+        self.now = end
+        return False
+
+    def leader(self) -> str:
+        """The voter that leads; empty while none does."""
+        for name in VOTERS:
+            process = self.processes[name]
+            if process.up and process.voter is not None and process.voter.leads:
+                return name
+        return ""
+
+    def voter(self, name: str) -> Voter:
+        voter = self.processes[name].voter
+        if voter is None:
+            raise ValueError(f"{name} does not vote")
+        return voter
+
+    def holder_of(self, duty: str) -> str:
+        """The broker that may act on a duty now; empty where none may."""
+        leader = self.leader()
+        name = self.voter(leader).table.lease(duty).holder if leader else ""
+        if not name or not self.processes[name].up:
+            return ""
+        return name if self._looking(name).may_act(self.now, duty) is not None else ""
+
+    def settled(self) -> bool:
+        """Whether all brokers that are up agree on a leader that is up."""
+        leader = self.leader()
+        running = [process.holder for process in self.processes.values() if process.up and not process.holder.gone]
+        return bool(leader) and all(holder.leader == leader for holder in running)
+
+    def _looking(self, name: str) -> Holder:
+        """A broker's side, whose loop has run: the product's looks at its duties 20 times a second."""
+        holder = self.processes[name].holder
+        holder._alive_at = self.now
+        return holder
+
+    def crash(self, name: str) -> None:
+        self.processes[name].up = False
+
+    def leave(self, name: str) -> None:
+        """A broker ends politely; it does not vote."""
+        self.processes[name].holder.leave(self.now)
+        self._send_holder(name)
+
+    # -- time
+    def _at(self, after: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (self.now + after, next(self._order), what))
+
+    def _wake(self, name: str) -> None:
+        process = self.processes[name]
+        for votes, one in ((False, process.holder), (True, process.voter)):
+            if one is None or one.next_at == float("inf") or process.wakes_at.get(votes) == one.next_at:
+                continue
+            at = process.wakes_at[votes] = one.next_at
+            self._at(max(at - self.now, 0.0), lambda at=at, votes=votes: self._tick(name, votes, at))  # type: ignore[misc]
+
+    def _tick(self, name: str, votes: bool, at: float) -> None:
+        process = self.processes[name]
+        if not process.up or process.wakes_at.get(votes) != at:
+            return
+        del process.wakes_at[votes]
+        began = time.process_time()
+        if votes and process.voter is not None:
+            process.voter.tick(self.now)
+            process.voter_use.ticks_s += time.process_time() - began
+            self._send_voter(name)
+        else:
+            self._looking(name).tick(self.now)
+            process.holder_use.ticks_s += time.process_time() - began
+            self._send_holder(name)
+
+    # -- datagrams
+    def _send_holder(self, name: str) -> None:
+        process = self.processes[name]
+        began = time.process_time()
+        bodies = [(to, wire.broker_body(message)) for to, message in process.holder.take()]
+        process.holder_use.messages_s += time.process_time() - began
+        for to, body in bodies:
+            self._send(process.holder_use, to, body)
+        self._wake(name)
+
+    def _send_voter(self, name: str) -> None:
+        process = self.processes[name]
+        began = time.process_time()
+        out = self.voter(name).take()
+        bodies = [(to, wire.voter_body(message)) for to, message in out.to_voters]
+        bodies += [(to, wire.broker_body(told)) for to, told in out.to_brokers]
+        process.voter_use.messages_s += time.process_time() - began
+        for seq, _ in out.writes:
+            self._at(self.rng.uniform(*DISK_S), lambda seq=seq: self._saved(name, seq))  # type: ignore[misc]
+        for to, body in bodies:
+            self._send(process.voter_use, to, body)
+        self._wake(name)
+
+    def _send(self, use: Use, to: str, body: bytes) -> None:
+        use.sent += 1
+        use.bytes_sent += len(body)
+        self._at(self.rng.uniform(*DELAY_S), lambda: self._arrive(to, body))
+
+    def _saved(self, name: str, seq: int) -> None:
+        process = self.processes[name]
+        if not process.up:
+            return
+        began = time.process_time()
+        self.voter(name).saved(self.now, seq)
+        process.voter_use.messages_s += time.process_time() - began
+        self._send_voter(name)
+
+    def _arrive(self, to: str, body: bytes) -> None:
+        process = self.processes[to]
+        if not process.up:
+            return
+        began = time.process_time()
+        message = wire.read(body)
+        if isinstance(message, Told):
+            use = process.holder_use
+            self._looking(to).told(self.now, message)
+        elif isinstance(message, Want | Leave):
+            use = process.voter_use
+            self.voter(to).from_broker(self.now, message)
+        else:
+            use = process.voter_use
+            self.voter(to).from_voter(self.now, cast(voting.Message, message))
+        use.messages_s += time.process_time() - began
+        use.received += 1
+        use.bytes_received += len(body)
+        if isinstance(message, Told):
+            self._send_holder(to)
+        else:
+            self._send_voter(to)
+
+
+def new_store() -> Kept:
+    """What `badgerbend voters create` leaves on the disk of each voter."""
+    kept = Kept(log=Log())
+    kept.add(voting.decode_record(voting.encode(voting.Snapshot(0, 0, VOTERS, b""))))
+    return kept
--- /dev/null
+++ b/benchmarks/scale/limits.py
@@ -0,0 +1,111 @@
+"""Which of the product's limits the fleet to come would break: what is needed, as a share of the limit; and trials.
+
+A share above 1 is a limit that breaks. The trials bring the product's own code to the size and count what it holds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from badgerbend.duties.probing import ASKERS_MOST
+from badgerbend.duties.voter import MOST_PENDING
+from badgerbend.knowledge.record import MOST_BYTES, MOST_SERVERS, BadRecord, decode, encode
+from badgerbend.membership.messages import State, Sync, Update
+from badgerbend.membership.messages import encode as encode_datagram
+from badgerbend.membership.swim import Swim, Tuning
+from badgerbend.net.seal import SENDERS, Seal
+from badgerbend.net.server import BACKLOG
+from badgerbend.peering.exchange import SERVER
+from badgerbend.rota.voting import BROKERS
+from scale import records
+from scale.figures import Figure, Kind
+from scale.fleetsize import DAY_S, ZONES, restarts_expected
+
+HOUR_S = 3600.0
+KEY = b"k" * 32
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """One of the product's limits, and what a fleet needs of it by brokers and nodes."""
+
+    name: str
+    most: float
+    needed: Callable[[int, int], float]
+
+
+LIMITS = (
+    Limit(
+        "membership Tuning.members_most: brokers, and the dead of an hour",
+        Tuning().members_most,
+        lambda brokers, nodes: brokers + restarts_expected(brokers, HOUR_S),
+    ),
+    Limit("rota.voting BROKERS", BROKERS, lambda brokers, nodes: brokers),
+    Limit("net.seal SENDERS: brokers", SENDERS, lambda brokers, nodes: brokers),
+    Limit(
+        "net.seal SENDERS: brokers, and a day's replacements at new addresses",
+        SENDERS,
+        lambda brokers, nodes: brokers + restarts_expected(brokers, DAY_S),
+    ),
+    Limit("duties.probing ASKERS_MOST", ASKERS_MOST, lambda brokers, nodes: brokers),
+    Limit("duties.voter MOST_PENDING: a renewal by each broker", MOST_PENDING, lambda brokers, nodes: brokers),
+    Limit("knowledge.record MOST_SERVERS", MOST_SERVERS, lambda brokers, nodes: nodes),
+    Limit(
+        "knowledge.record MOST_BYTES: a record of all nodes",
+        MOST_BYTES,
+        lambda brokers, nodes: len(encode(records.unbounded(nodes, 1))),
+    ),
+    Limit("net.server BACKLOG: all brokers connect at once", BACKLOG, lambda brokers, nodes: brokers),
+    Limit(
+        "peering.exchange SERVER.max_connections: a zone's brokers ask one peer at once",
+        SERVER.max_connections,
+        lambda brokers, nodes: brokers / ZONES,
+    ),
+)
+
+
+def members_held(brokers: int) -> float:
+    """The share of so many brokers that a member holds once it has heard of all."""
+    member = Swim("observer", ("observer", 1), 1, "", Tuning(), 1)
+    for i in range(brokers):
+        me = Update(f"broker-{i}", f"host-{i}", 7946, State.ALIVE, 1)
+        member.receive(0.0, encode_datagram(Sync(False, me)), (me.host, me.port))
+    return len(member.members) / brokers
+
+
+def windows_kept(brokers: int, replaced: int) -> float:
+    """The share of brokers whose replay window a receiver still has: without it a datagram seen before is taken again.
+
+    Each broker has sent one datagram; then so many others, from addresses of their own, which replace machines. A
+    broker whose window was dropped gets a new one with its next datagram, and the receiver drops another's for it.
+    """
+    receiver = Seal((KEY,), 1)
+    senders = [f"10.123.{i // 256}.{i % 256}:7946".encode() for i in range(brokers + replaced)]
+    for sender in senders:
+        receiver.open(Seal((KEY,), 2).close(b"ping", sender), sender)
+    return sum(sender in receiver.seen for sender in senders[:brokers]) / brokers
+
+
+def record_of_all_read(nodes: int) -> bool:
+    """Whether a record that tells of all nodes would be read."""
+    try:
+        decode(encode(records.unbounded(nodes, 1)))
+    except BadRecord:
+        return False
+    return True
+
+
+def figures(brokers: int, nodes: int) -> list[Figure]:
+    found = []
+    for limit in LIMITS:
+        share = limit.needed(brokers, nodes) / limit.most
+        found.append(Figure("brokers", "limit", limit.name, "share", brokers, share, Kind.MEASURED))
+    replaced = round(restarts_expected(brokers, DAY_S))
+    trials = (
+        ("brokers held by a member", members_held(brokers)),
+        ("replay windows kept, brokers only", windows_kept(brokers, 0)),
+        ("replay windows kept, after a day's replacements", windows_kept(brokers, replaced)),
+        ("a record of all nodes is read", float(record_of_all_read(nodes))),
+    )
+    return found + [Figure("brokers", "trial", what, "share", brokers, value, Kind.MEASURED) for what, value in trials]
