A member calls seeds that it never met also while others are dead

Cause: Swim._begin_period called the seeds only where no dead member was held; a dead one is held for an hour.

Change: the seeds are called whenever fewer are alive than there are seeds, dead members or not: once in eight periods.

--- a/badgerbend/membership/swim.py
+++ b/badgerbend/membership/swim.py
@@ -209,8 +209,8 @@
             if dead:
                 lost = self.rng.choice(dead)
                 self._send(lost.address, Ping(next(self._seq), lost.name, self._me()), to=lost.name)
-            elif len(alive) < len(self.seeds):
-                self._call_seeds()  # a seed that was never met may be there by now
+            if len(alive) < len(self.seeds):
+                self._call_seeds()  # a seed that was never met may be there by now, also while others are dead
         for name in [m.name for m in self.members.values() if self._forgettable(m, now)]:
             del self.members[name]
         target = self._next_target()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -30,6 +30,18 @@
     assert net.run(20, net.agreed)
 
 
+def test_a_seed_that_was_never_met_is_found_while_other_seeds_are_dead():
+    net, names = cluster(5)
+    net.sides["m0"] = 1
+    net.run(1)
+    for seed in names[:3]:
+        net.crash(seed)
+    net.run(60, lambda: all(view.get("m1") == State.DEAD for view in net.views().values()))
+    net.sides["m0"] = 0
+    net.start("m0", tuple(names[:3]))
+    assert net.run(60, net.agreed), net.views()
+
+
 def test_a_crash_is_noticed_by_all_and_a_leave_at_once():
     net, names = cluster(8)
     assert net.run(20, net.agreed)
