Duties on sockets: probing and the status for people stand in modules of their own

Cause: rota/service.py had 420 lines: the socket, the timers, all of probing, and two long functions that built maps.

Change: a move. rota/probing.py holds a broker's part in probing (doubts, probes, findings), with the narrow protocol that it needs of the socket; rota/status.py types what /duties says, with the same keys in the same order. Rota.may_act takes the duty's name always.

--- a/badgerbend/rota/service.py
+++ b/badgerbend/rota/service.py
@@ -8,9 +8,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from functools import partial
 from pathlib import Path
-from typing import Any
 
 from badgerbend.config.fleet import Duties
 from badgerbend.config.settings import Settings
@@ -22,29 +20,20 @@
 from badgerbend.duties.fence import Fence
 from badgerbend.duties.holder import Holder, Terms
 from badgerbend.duties.messages import Ask, Dealt, Doubt, Found, Leave, Told, Want
-from badgerbend.duties.probing import Prober, doubted, learned, said
 from badgerbend.ledger.store import BadStore
 from badgerbend.log import get
 from badgerbend.metrics import Metrics
-from badgerbend.net.client import End, Pool, Reply
+from badgerbend.net.client import Pool
 from badgerbend.net.seal import Seal, bears, read_key
 from badgerbend.net.udp import Address, SealedSocket, address_text
 from badgerbend.rota import wire
 from badgerbend.rota.dealing import DEAL, Dealing, broker_name
+from badgerbend.rota.probing import PROBE, Probing
+from badgerbend.rota.status import RotaStatus, duty_statuses, vote_counts, vote_status
 from badgerbend.rota.voting import Ballot
 from badgerbend.runtime.driver import Driver
 
-PROBE = "probe"  # the duty's name; where there are sites, each has one of its own
-DOUBT_S = 1.0  # doubts are said so often, for as long as they last
-PROBE_S = 1.0  # a probe that is not answered by then has failed
-LOOK_S = 0.05  # how often a prober looks at what is due
-FAILED_FOR_S = 2.0  # a prober none of whose probes was answered for so long says that it fails
 HAND_OVER_S = 0.3  # leadership is awaited to be taken at the end of the process
-_BODY = b'{"query":"{ __typename }"}'
-_HEAD = (
-    b"POST /graphql HTTP/1.1\r\nhost: %s:%d\r\nuser-agent: badgerbend/probe\r\n"
-    b"content-type: application/json\r\ncontent-length: %d\r\n\r\n"
-)
 
 
 def terms_of(duties: Duties) -> Terms:
@@ -73,7 +62,7 @@
         self.name = broker_name(settings)
         self.keys = tuple(read_key(folder / path) for path in duties.key)
         super().__init__(Seal(self.keys, self.life))
-        self.driver, self.directory, self.pool_of, self.clock = driver, directory, pool_of, clock
+        self.driver, self.clock = driver, clock
         self.log = get(part="duties")
         self.terms = terms_of(duties)
         self.voters = {v.name: parse_address(v.address) for v in duties.voter}
@@ -82,16 +71,14 @@
         self.fence = Fence()
         home = settings.sites.home(settings.identity.zone) if settings.sites is not None else None
         self.duty = f"{PROBE}:{home.name}" if home is not None else PROBE
-        self.prober = Prober(self.duty, self.name, duties.probe_every_ms / 1000.0, duties.probes)
+        self.probing = Probing(
+            self, duties, self.duty, self.name, self.fence, driver, directory, pool_of, clock,
+        )  # fmt: skip
         self.dealing: Dealing | None = None
         if slices is not None:
             self.dealing = Dealing(slices, directory, settings.servers.cold_ms, driver.schedule.now_ms)
-        self.findings = 0  # rows that others' probes told this broker
-        self.acts = 0
-        self._answered_at = self._probed_since = -1.0
+        self.dealt = 0  # answers to brokers that asked for an allowance
         self._timer: asyncio.TimerHandle | None = None
-        self._doubts: asyncio.TimerHandle | None = None
-        self._probing: asyncio.TimerHandle | None = None
         self._asking: asyncio.TimerHandle | None = None
         self._closed = False
 
@@ -115,9 +102,7 @@
         at, voters = address_text(self.own), tuple(self.voters)
         self.holder = Holder(self.name, at, stands, voters, self.terms, self._seed(2), self.clock())
         if duties.probing:
-            wait = DOUBT_S * self.holder.rng.random()
-            self._doubts = self.loop.call_later(wait, self._say_doubts)
-            self._probing = self.loop.call_later(LOOK_S, self._probe)
+            self.probing.start(self.holder)
         if self.dealing is not None:
             self._asking = self.loop.call_later(self.dealing.every_s * self.holder.rng.random(), self._ask)
         self._after()
@@ -129,7 +114,8 @@
     async def close(self) -> None:
         """Gives back what it holds, lets another lead, and ends."""
         self._closed = True
-        for timer in (self._timer, self._doubts, self._probing, self._asking):
+        self.probing.close()
+        for timer in (self._timer, self._asking):
             if timer is not None:
                 timer.cancel()
         if self.holder is not None:
@@ -157,9 +143,9 @@
             case Told():
                 self._told(message)
             case Doubt():
-                self._heard_doubt(message, source)
+                self.probing.heard_doubt(message, source)
             case Found():
-                self._heard_found(message)
+                self.probing.heard_found(message)
             case Ask():
                 self._heard_ask(message, source)
             case Dealt():
@@ -223,12 +209,12 @@
             self.ballot.tick()
         self._after()
 
-    # -- probing
-    def may_act(self, duty: str | None = None) -> int | None:
-        """The epoch under which this broker may act on a duty now, if it may; without a name on probing."""
-        return self.holder.may_act(self.clock(), duty or self.duty) if self.holder is not None else None
+    # -- acting
+    def may_act(self, duty: str) -> int | None:
+        """The epoch under which this broker may act on a duty now, if it may."""
+        return self.holder.may_act(self.clock(), duty) if self.holder is not None else None
 
-    def _to_holder(self, duty: str, body: bytes) -> None:
+    def to_holder(self, duty: str, body: bytes) -> None:
         """To whoever holds a duty, as this broker was last told; to nobody where that is not known."""
         assert self.holder is not None
         mine = self.holder.duties[duty]
@@ -238,70 +224,6 @@
             except ValueError:
                 self.refused += 1
 
-    def _say_doubts(self) -> None:
-        assert self.holder is not None
-        self._doubts = self.loop.call_later(DOUBT_S * self.holder.rng.uniform(0.8, 1.2), self._say_doubts)
-        doubts = doubted(self.driver.known(), self.directory.names)
-        if not doubts:
-            return
-        doubt = said(doubts, self.name, self.duty)
-        if self.may_act() is not None:
-            self._heard_doubt(doubt, self.own)
-        elif self.holder.duties[self.duty].holder != self.name:
-            self._to_holder(self.duty, wire.act_body(doubt))
-
-    def _heard_doubt(self, doubt: Doubt, source: Address) -> None:
-        if doubt.duty == self.duty and self.may_act() is not None:
-            self.prober.doubt(self.clock(), doubt, address_text(source))
-
-    def _probe(self) -> None:
-        self._probing = self.loop.call_later(LOOK_S, self._probe)
-        if self.may_act() is None:
-            self.prober.stop()
-            self._probed_since = -1.0
-            return
-        for server in self.prober.due(self.clock()):
-            known = self.directory.known.get(server)
-            pool = self.pool_of(known.number) if known is not None else None
-            if pool is None:
-                self._found(server, False, 0.0)  # it is on no list any more
-                continue
-            _Probe(self, server, pool)
-        self._judge_self()
-
-    def _judge_self(self) -> None:
-        """A prober that gets no answer from any server, though others doubt but some, says that it fails."""
-        assert self.holder is not None
-        now = self.clock()
-        if not self.prober.servers:
-            self._probed_since = -1.0
-        elif self._probed_since < 0:
-            self._probed_since = now
-        alone = self._probed_since >= 0 and now - max(self._probed_since, self._answered_at) > FAILED_FOR_S
-        self.holder.failing(self.duty, alone)
-
-    def _found(self, server: str, served: bool, took_ms: float) -> None:
-        """A probe's end. It is an act: told under the epoch in force now, or not at all."""
-        if served:
-            self._answered_at = self.clock()
-        epoch = self.may_act()
-        if epoch is None or self._closed:
-            return
-        for at, found in self.prober.found(self.clock(), epoch, server, served, took_ms):
-            self.acts += 1
-            if at == address_text(self.own):
-                self._heard_found(found)
-            else:
-                self.send(parse_address(at), wire.act_body(found), lambda: self.may_act() == epoch)
-
-    def _heard_found(self, found: Found) -> None:
-        """Under an older epoch than was seen it takes no effect, whoever says it."""
-        if found.duty != self.duty or not self.fence.admits(found.duty, found.epoch):
-            return
-        self.findings += len(found.rows)
-        known = self.directory.known
-        self.driver.learn(learned(found, {r.server: known[r.server].number for r in found.rows if r.server in known}))
-
     # -- cold allowance
     def _ask(self) -> None:
         assert self.holder is not None and self.dealing is not None
@@ -309,7 +231,7 @@
         if self.may_act(DEAL) is None:
             self.dealing.rest()
         for ask in self.dealing.asks():  # the dealer asks itself in the same way: its share is seen like any other
-            self._to_holder(DEAL, wire.act_body(ask))
+            self.to_holder(DEAL, wire.act_body(ask))
 
     def _heard_ask(self, ask: Ask, source: Address) -> None:
         """An answer is an act: told under the epoch in force now, or not at all."""
@@ -317,7 +239,7 @@
             return
         dealt = self.dealing.asked(self.clock() * 1000.0, self.may_act(DEAL), ask)
         if dealt is not None:
-            self.acts += 1
+            self.dealt += 1
             self.send(source, wire.act_body(dealt), lambda: self.may_act(DEAL) == dealt.epoch)
 
     def _heard_dealt(self, dealt: Dealt) -> None:
@@ -328,52 +250,40 @@
     def _note(self, what: str, **values: object) -> None:
         self.log.info(what, **values)
 
-    def status(self) -> dict[str, Any]:
+    def status(self) -> RotaStatus:
         """For a person: who holds what as this broker was last told, and the vote's state where it has one."""
-        holder, ballot = self.holder, self.ballot
         now = self.clock()
-        duties = [
-            {
-                "duty": duty, "holder": d.holder, "epoch": d.holder_epoch, "may_act": now < d.until and d.epoch > 0,
-                "for_ms": round(max(d.until - now, 0.0) * 1000.0) if d.epoch else 0,
-            }
-            for duty, d in (holder.duties.items() if holder is not None else ())
-        ]  # fmt: skip
-        vote: dict[str, Any] | None = None
-        if ballot is not None:
-            raft = ballot.voter.raft
-            leases = ballot.voter.table.leases.items()
-            vote = {
-                "name": ballot.name, "role": raft.role.name.lower(), "term": raft.term, "leader": raft.leader,
-                "voters": list(raft.voters), "commit": raft.commit, "last": raft.log.last_index,
-                "broken": ballot.broken, "syncs": ballot.writer.syncs, "renewals": ballot.voter.renewals,
-                "others": {
-                    n: {"match": p.match, "silent_ms": round((now - p.heard_at) * 1000.0)}
-                    for n, p in raft.progress.items()
-                },
-                "leases": [{"duty": n, "holder": lease.holder, "epoch": lease.epoch} for n, lease in leases],
-            }  # fmt: skip
-        return {
-            "name": self.name, "leader": holder.leader if holder is not None else "", "duties": duties, "vote": vote,
-            "probes": self.prober.probes, "findings": self.findings, "acts": self.acts,
-            "dealing": self.dealing.status() if self.dealing is not None else None,
-            "refused_acts": self.fence.refused, "sent": self.sent, "received": self.received,
-            "refused": self.refused, "bytes": self.bytes,
-        }  # fmt: skip
+        return RotaStatus(
+            name=self.name,
+            leader=self.holder.leader if self.holder is not None else "",
+            duties=duty_statuses(self.holder, now) if self.holder is not None else [],
+            vote=vote_status(self.ballot, now) if self.ballot is not None else None,
+            probes=self.probing.prober.probes,
+            findings=self.probing.findings,
+            acts=self.probing.acts + self.dealt,
+            dealing=self.dealing.status() if self.dealing is not None else None,
+            refused_acts=self.fence.refused,
+            sent=self.sent,
+            received=self.received,
+            refused=self.refused,
+            bytes=self.bytes,
+        )
 
     def gauges(self, metrics: Metrics) -> None:
-        holder, ballot = self.holder, self.ballot
-        for duty, d in holder.duties.items() if holder is not None else ():
-            metrics.duties.labels(duty, "held here").set(self.clock() < d.until and d.epoch > 0)
-            metrics.duties.labels(duty, "epoch").set(d.holder_epoch)
-        counts = {"probes": self.prober.probes, "findings": self.findings, "acts refused": self.fence.refused,
-                  "datagrams sent": self.sent, "datagrams refused": self.refused}  # fmt: skip
+        for duty in duty_statuses(self.holder, self.clock()) if self.holder is not None else ():
+            metrics.duties.labels(duty.duty, "held here").set(duty.may_act)
+            metrics.duties.labels(duty.duty, "epoch").set(duty.epoch)
+        counts = {
+            "probes": self.probing.prober.probes,
+            "findings": self.probing.findings,
+            "acts refused": self.fence.refused,
+            "datagrams sent": self.sent,
+            "datagrams refused": self.refused,
+        }
         if self.dealing is not None:
             counts |= {"slices dealt": self.dealing.dealer.slices, "slices taken": self.dealing.slices.dealt}
-        if ballot is not None:
-            raft = ballot.voter.raft
-            counts |= {"term": raft.term, "leads": int(ballot.voter.leads), "commit": raft.commit,
-                       "syncs": ballot.writer.syncs, "votes no more": int(ballot.broken is not None)}  # fmt: skip
+        if self.ballot is not None:
+            counts |= vote_counts(self.ballot)
         for what, count in counts.items():
             metrics.rota.labels(what).set(count)
 
@@ -398,24 +308,3 @@
             self._after()
             return (409, against) if against else (200, "on the way; see the status")
         return 404, "no such command"
-
-
-class _Probe:
-    """One question to one server, and its one end."""
-
-    def __init__(self, rota: Rota, server: str, pool: Pool) -> None:
-        self.rota, self.server, self.began = rota, server, rota.clock()
-        head = _HEAD % (pool.host.encode(), pool.port, len(_BODY))
-        self.call = pool.request(head + _BODY, self.replied)
-        self.limit = rota.loop.call_later(PROBE_S, partial(self.end, False))
-        self.done = False
-
-    def replied(self, reply: Reply) -> None:
-        self.end(reply.end is End.ANSWER and reply.status == 200)
-
-    def end(self, served: bool) -> None:
-        if not self.done:
-            self.done = True
-            self.limit.cancel()
-            self.call.abort()
-            self.rota._found(self.server, served, (self.rota.clock() - self.began) * 1000.0)
--- /dev/null
+++ b/badgerbend/rota/status.py
@@ -0,0 +1,114 @@
+"""What a person is told of a broker's duties and of its vote, as JSON by `/duties` and as counts by `/metrics`."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from badgerbend.duties.holder import Holder
+from badgerbend.rota.voting import Ballot
+
+
+class DutyStatus(msgspec.Struct, frozen=True):
+    """A duty as this broker was last told. for_ms: how long it may still act on it."""
+
+    duty: str
+    holder: str
+    epoch: int
+    may_act: bool
+    for_ms: int
+
+
+class FollowerStatus(msgspec.Struct, frozen=True):
+    """What a leader knows of another voter. match: the last entry known to be on its disk."""
+
+    match: int
+    silent_ms: int
+
+
+class LeaseStatus(msgspec.Struct, frozen=True):
+    duty: str
+    holder: str
+    epoch: int
+
+
+class VoteStatus(msgspec.Struct, frozen=True):
+    """A voter's state. broken: why it votes no more, if so. others: by name, while it leads."""
+
+    name: str
+    role: str
+    term: int
+    leader: str
+    voters: list[str]
+    commit: int
+    last: int
+    broken: str | None
+    syncs: int
+    renewals: int
+    others: dict[str, FollowerStatus]
+    leases: list[LeaseStatus]
+
+
+class RotaStatus(msgspec.Struct, frozen=True):
+    """vote: None where this broker has no store. dealing: None where nothing is dealt."""
+
+    name: str
+    leader: str
+    duties: list[DutyStatus]
+    vote: VoteStatus | None
+    probes: int
+    findings: int
+    acts: int
+    dealing: dict[str, Any] | None
+    refused_acts: int
+    sent: int
+    received: int
+    refused: int
+    bytes: int
+
+
+def duty_statuses(holder: Holder, now: float) -> list[DutyStatus]:
+    return [
+        DutyStatus(
+            duty=name,
+            holder=duty.holder,
+            epoch=duty.holder_epoch,
+            may_act=now < duty.until and duty.epoch > 0,
+            for_ms=round(max(duty.until - now, 0.0) * 1000.0) if duty.epoch else 0,
+        )
+        for name, duty in holder.duties.items()
+    ]
+
+
+def vote_status(ballot: Ballot, now: float) -> VoteStatus:
+    raft = ballot.voter.raft
+    return VoteStatus(
+        name=ballot.name,
+        role=raft.role.name.lower(),
+        term=raft.term,
+        leader=raft.leader,
+        voters=list(raft.voters),
+        commit=raft.commit,
+        last=raft.log.last_index,
+        broken=ballot.broken,
+        syncs=ballot.writer.syncs,
+        renewals=ballot.voter.renewals,
+        others={
+            name: FollowerStatus(progress.match, round((now - progress.heard_at) * 1000.0))
+            for name, progress in raft.progress.items()
+        },
+        leases=[LeaseStatus(duty, lease.holder, lease.epoch) for duty, lease in ballot.voter.table.leases.items()],
+    )
+
+
+def vote_counts(ballot: Ballot) -> dict[str, int]:
+    """By name, for the metrics."""
+    raft = ballot.voter.raft
+    return {
+        "term": raft.term,
+        "leads": int(ballot.voter.leads),
+        "commit": raft.commit,
+        "syncs": ballot.writer.syncs,
+        "votes no more": int(ballot.broken is not None),
+    }
