--- a/benchmarks/crossings.py
+++ b/benchmarks/crossings.py
@@ -1,32 +1,25 @@
 """Random pairs of events over the real service on loopback: `python benchmarks/crossings.py --count 1000`."""
 
-import argparse
 import sys
-from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
+from days import day_parser, play_all  # noqa: E402
+
 from tests.crossing_days import Day  # noqa: E402
 
 
 def play(seed):
-    return seed, Day(seed).play()
+    found = Day(seed).play()
+    return f"seed {seed}: {found}" if found else ""
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--count", type=int, default=100)
+    parser = day_parser(__doc__)
     parser.add_argument("--first", type=int, default=0)
-    parser.add_argument("--workers", type=int, default=4)
-    said = parser.parse_args()
-    broken = 0
-    with ProcessPoolExecutor(said.workers) as pool:
-        for seed, found in pool.map(play, range(said.first, said.first + said.count)):
-            broken += bool(found)
-            if found:
-                print(f"seed {seed}: {found}")
-    print(f"{said.count} days, {broken} with a rule broken")
-    return 1 if broken else 0
+    options = parser.parse_args()
+    seeds = range(options.first, options.first + options.count)
+    return play_all(play, seeds, options.workers, "a rule broken")
 
 
 if __name__ == "__main__":
