Raft: what waits for the disk stands in a module of its own

Cause: consensus/raft.py numbered writes, held messages until a write is on disk and tracked the durable index, all between the steps of the algorithm.

Change: a move to consensus/durability.py, which Raft uses as `disk`. tests/modelvoters.py clones it and tests/mutants.py sets `disk.durable` where it set `durable`; nothing else changes there.

--- a/badgerbend/consensus/raft.py
+++ b/badgerbend/consensus/raft.py
@@ -14,15 +14,14 @@
 
 import math
 import random
-from collections import deque
 from collections.abc import Sequence
 
+from badgerbend.consensus.durability import Durability
 from badgerbend.consensus.events import Applied, Confirmed, Event, Follows, Leads
 from badgerbend.consensus.log import Kept
 from badgerbend.consensus.messages import (
     MOST_COMMAND,
     MOST_VOTERS,
-    Append,
     AskVote,
     Cede,
     Entry,
@@ -38,7 +37,7 @@
     Voted,
     encode_names,
 )
-from badgerbend.consensus.pending import HeldMessage, OwnVote, PendingRead, Transfer, UnsyncedEntries
+from badgerbend.consensus.pending import OwnVote, PendingRead, Transfer
 from badgerbend.consensus.quorum import is_majority, majority_index
 from badgerbend.consensus.replication import Leadership, Progress, outstanding, snapshot_piece
 from badgerbend.consensus.snapshots import IncomingSnapshot, compacted
@@ -68,13 +67,8 @@
         self.transferring: Transfer | None = None
         self.beat, self.beat_at = 0, math.inf
         self.reads: list[PendingRead] = []
-        self.out: list[tuple[str, Message]] = []
-        self.writes: list[tuple[int, Record]] = []
         self.events: list[Event] = []
-        self.seq = self.synced = 0  # writes, and those on disk
-        self.durable = self.log.last_index
-        self._appends: deque[UnsyncedEntries] = deque()
-        self._held: deque[HeldMessage] = deque()
+        self.disk = Durability(self.log.last_index)
         self._own_vote: OwnVote | None = None
         self._incoming: IncomingSnapshot | None = None
         self._told_lead = 0
@@ -92,7 +86,7 @@
             self._follow(now, message.term, "")
         if message.term < self.term:
             if isinstance(message, Feed | Install):  # a leader of the past learns that it is one
-                self._send(message.source, Fed(self.term, self.name, False, self.log.last_index, 0), self.seq)
+                self._send(message.source, Fed(self.term, self.name, False, self.log.last_index, 0), self.disk.seq)
             return
         match message:
             case Voted():
@@ -184,13 +178,8 @@
 
     def saved(self, now: float, seq: int) -> None:
         """All writes up to this one are on disk, for good."""
-        self.synced = max(self.synced, seq)
-        while self._appends and self._appends[0].write <= self.synced:
-            self.durable = max(self.durable, self._appends.popleft().last_index)
-        while self._held and self._held[0].write <= self.synced:
-            held = self._held.popleft()
-            self.out.append((held.to, held.message))
-        if self._own_vote is not None and self._own_vote.write <= self.synced:
+        self.disk.saved(seq)
+        if self._own_vote is not None and self._own_vote.write <= self.disk.synced:
             term = self._own_vote.term
             self._own_vote = None
             if self.role is Role.CANDIDATE and self.term == term:
@@ -201,9 +190,9 @@
     def take(self) -> tuple[list[tuple[int, Record]], list[tuple[str, Message]], list[Event]]:
         """Writes in their order, messages and events since the last call. Messages do not wait for these writes:
         those that must were held back."""
-        taken = self.writes, self.out, self.events
-        self.writes, self.out, self.events = [], [], []
-        return taken
+        writes, messages = self.disk.take()
+        events, self.events = self.events, []
+        return writes, messages, events
 
     @property
     def ready(self) -> bool:
@@ -225,7 +214,7 @@
     def _stand(self, now: float, ceded: bool = False) -> None:
         self.role, self.leader, self.votes = Role.CANDIDATE, "", set()
         self.term, self.voted = self.term + 1, self.name
-        self._own_vote = OwnVote(self._write(Vote(self.term, self.name)), self.term)
+        self._own_vote = OwnVote(self.disk.write(Vote(self.term, self.name)), self.term)
         self.deadline = self._new_deadline(now)
         self._ask(pre=False, ceded=ceded)
 
@@ -234,12 +223,12 @@
         for name in self.voters:
             if name != self.name:
                 message = AskVote(term, self.name, log.last_index, log.last_term, pre, ceded)
-                self._send(name, message, 0 if pre else self.seq)
+                self._send(name, message, 0 if pre else self.disk.seq)
 
     def _asked(self, now: float, request: AskVote) -> None:
         """One who heard a leader lately gives nobody a thought: who was cut off or removed disturbs no one."""
         if request.term < self.term:
-            self._send(request.source, Voted(self.term, self.name, request.pre, False), self.seq)
+            self._send(request.source, Voted(self.term, self.name, request.pre, False), self.disk.seq)
             return
         if not request.ceded and (self.role is Role.LEADER or now - self.heard_at < self.tuning.election_s):
             return
@@ -252,7 +241,7 @@
     def _answer_pre_vote(self, request: AskVote, up_to_date: bool) -> None:
         granted = up_to_date and request.term > self.term
         term = request.term if granted else self.term
-        self._send(request.source, Voted(term, self.name, True, granted), self.seq)
+        self._send(request.source, Voted(term, self.name, True, granted), self.disk.seq)
 
     def _answer_vote(self, now: float, request: AskVote, up_to_date: bool) -> None:
         if request.term > self.term:
@@ -260,14 +249,14 @@
         granted = up_to_date and self.voted in ("", request.source)
         if granted and not self.voted:
             self.voted = request.source
-            self._write(Vote(self.term, request.source))
+            self.disk.write(Vote(self.term, request.source))
         if granted:
             self.deadline = self._new_deadline(now)
         self._send(request.source, Voted(self.term, self.name, False, granted), self._promised())
 
     def _promised(self) -> int:
         """The write that must be on disk before a promise is made on what was decided so far."""
-        return self.seq
+        return self.disk.seq
 
     def _counted(self, now: float, answer: Voted) -> None:
         asked = Role.ASKING if answer.pre else Role.CANDIDATE
@@ -294,7 +283,7 @@
         """Follows in this term, which is its own or a later one."""
         if term > self.term:
             self.term, self.voted = term, ""
-            self._write(Vote(term, ""))
+            self.disk.write(Vote(term, ""))
         led = self.role is Role.LEADER
         if led or leader != self.leader:
             self.events.append(Follows(term, leader))
@@ -391,7 +380,7 @@
     def _advance(self, now: float) -> None:
         """Commits what most voters have on disk, once that reaches an entry of this term (3.6.2: an earlier term's
         is never committed by counting)."""
-        index = majority_index(self.durable if n == self.name else self.progress[n].match for n in self.voters)
+        index = majority_index(self.disk.durable if n == self.name else self.progress[n].match for n in self.voters)
         if index > self.commit and self._countable(index):
             self.commit = index
             self._apply(now)
@@ -464,31 +453,16 @@
             self._follow(now, self.term, "")
 
     # -- what is kept
-    def _write(self, record: Record) -> int:
-        self.seq += 1
-        self.writes.append((self.seq, record))
-        return self.seq
-
     def _append(self, entries: Sequence[Entry]) -> None:
-        first = entries[0].index
-        self._bound_durable(first - 1)
         self.log.append(entries)
-        write = self._write(Append(tuple(entries)))
-        self._appends.append(UnsyncedEntries(write, entries[-1].index))
-        self._read_voters(first)
+        self.disk.write_entries(entries)
+        self._read_voters(entries[0].index)
 
     def _keep(self, snapshot: Snapshot) -> None:
         self.log.take(snapshot)
-        write = self._write(snapshot)
-        self._bound_durable(self.log.last_index)
-        self._appends.append(UnsyncedEntries(write, snapshot.index))
+        self.disk.write_snapshot(snapshot, self.log.last_index)
         self._read_voters(0)
 
-    def _bound_durable(self, index: int) -> None:
-        """What stood beyond this index was replaced, so that no write made before makes it durable."""
-        self.durable = min(self.durable, index)
-        self._appends = deque(UnsyncedEntries(write, min(last, index)) for write, last in self._appends)
-
     def _read_voters(self, changed_from: int) -> None:
         """Who votes, by the log as it is now; only a word on it, or the loss of one, changes that."""
         if changed_from > self.voters_index and not any(
@@ -503,7 +477,4 @@
 
     def _send(self, to: str, message: Message, after: int) -> None:
         """after: the write that must be on disk first; 0 for none."""
-        if after > self.synced:
-            self._held.append(HeldMessage(after, to, message))
-        else:
-            self.out.append((to, message))
+        self.disk.send(to, message, after)
--- a/tests/modelvoters.py
+++ b/tests/modelvoters.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from copy import copy
 
 from badgerbend.consensus import messages as voting
 from badgerbend.consensus.log import Kept, Log
@@ -42,8 +43,10 @@
         one = new.progress[name] = object.__new__(type(held))
         for slot in type(held).__slots__:
             setattr(one, slot, getattr(held, slot))
-    new._appends, new._held = deque(raft._appends), deque(raft._held)
-    new.reads, new.writes, new.out, new.events = list(raft.reads), [], [], []
+    new.disk = copy(raft.disk)
+    new.disk.unsynced, new.disk.held = deque(raft.disk.unsynced), deque(raft.disk.held)
+    new.disk.writes, new.disk.messages = [], []
+    new.reads, new.events = list(raft.reads), []
     return new
 
 
@@ -95,7 +98,7 @@
             raft = self.rafts[name]
             if self.left["stand"] and raft.role is not Role.LEADER:
                 yield ("stand", name)
-            if raft.seq > raft.synced:
+            if raft.disk.seq > raft.disk.synced:
                 yield ("sync", name)
             if self.left["propose"] and raft.role is Role.LEADER:
                 yield ("propose", name)
@@ -125,7 +128,7 @@
                 case "sync":
                     raft = new._touch(name)
                     new.disks[name] = (new.disks[name][0], len(new.disks[name][0]))
-                    raft.saved(0.0, raft.seq)
+                    raft.saved(0.0, raft.disk.seq)
                 case "propose":
                     new._touch(name).propose(0.0, b"x%d" % new.left["propose"])
                 case "crash":
@@ -141,10 +144,10 @@
             r = self.rafts[name]
             progress = tuple((n, p.match, p.next, p.in_flight) for n, p in sorted(r.progress.items()))
             entries = tuple((e.term, e.data) for e in r.log.entries)
-            held = tuple((to, voting.encode(m)) for _, to, m in r._held)
+            held = tuple((to, voting.encode(m)) for _, to, m in r.disk.held)
             rows.append(
                 (r.term, r.voted, r.role, r.leader, r.commit, entries, tuple(sorted(r.votes)), progress, held,
-                 r.seq - r.synced, r.durable, len(self.disks[name][0]) - self.disks[name][1])
+                 r.disk.seq - r.disk.synced, r.disk.durable, len(self.disks[name][0]) - self.disks[name][1])
             )  # fmt: skip
         return (tuple(rows), self.net, tuple(self.left.items()), tuple(sorted(self.committed.items())))
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -32,9 +32,9 @@
 
 class CountsOwnBeforeTheDisk(Raft):
     def _advance(self, now):
-        kept, self.durable = self.durable, self.log.last_index
+        kept, self.disk.durable = self.disk.durable, self.log.last_index
         super()._advance(now)
-        self.durable = kept
+        self.disk.durable = kept
 
 
 class CommitsAnEarlierTerm(Raft):
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -36,7 +36,8 @@
     "platform": {"api", "discovery", "facts", "frames", "logic", "net", "runtime"},
 }  # fmt: skip
 PURE = (
-    "consensus/events.py", "consensus/log.py", "consensus/messages.py", "consensus/pending.py",
+    "consensus/durability.py", "consensus/events.py", "consensus/log.py", "consensus/messages.py",
+    "consensus/pending.py",
     "consensus/quorum.py", "consensus/raft.py", "consensus/replication.py", "consensus/snapshots.py",
     "consensus/types.py", "duties/allowance.py", "duties/fence.py",
     "duties/holder.py", "duties/keeper.py", "duties/messages.py", "duties/probing.py", "duties/table.py",
