One place for the size to come in the scale tests

Cause: two parts of the scale tests were written at the same time, each with the fleet's numbers. Change: benchmarks/scale/fleetsize.py has them; target.py keeps what concerns queries. Figures do not change.

--- a/benchmarks/scale/fleetsize.py
+++ b/benchmarks/scale/fleetsize.py
@@ -7,6 +7,7 @@
 ZONES = 8
 RESTARTS_A_DAY = 5_100  # machines restarted or replaced, on an ordinary day
 FAILURES_A_DAY = 28
+CONFIGURATIONS_A_DAY = 3_200  # changes of configuration, in force everywhere within 4 s
 DAY_S = 86_400.0
 
 NODES_A_BROKER = NODES / BROKERS
--- a/benchmarks/scale/lists.py
+++ b/benchmarks/scale/lists.py
@@ -13,11 +13,11 @@
 
 from badgerbend.net.client import Reply
 from scale.figures import Figure, Kind, Part
+from scale.fleetsize import CONFIGURATIONS_A_DAY, DAY_S, FAILURES_A_DAY, NODES, RESTARTS_A_DAY, ZONES
 from scale.list_memory import MEGABYTE, memory_of
 from scale.list_reading import Reader, Taken
 from scale.list_rows import FORMS, ListForm, Node, nodes_of, turned
 from scale.processor import collector_of_a_broker
-from scale.target import NODES, ZONES
 
 NODES_PER_CELL = 4  # with a reach of three cells: twelve holders a shard, at each size
 REPEATS = 5
@@ -27,13 +27,9 @@
 # The ordinary day of the fleet to come. A node that is restarted or replaced changes its state four times: it drains,
 # is gone, starts, is ready. A change of configuration changes one row. A machine that fails takes one node with it,
 # whose return counts among the replaced ones.
-RESTARTS_PER_DAY = 5_100
 STATES_PER_RESTART = 4
-CONFIGURATIONS_PER_DAY = 3_200
-MACHINE_FAILURES_PER_DAY = 28
-CHANGES_PER_DAY = RESTARTS_PER_DAY * STATES_PER_RESTART + CONFIGURATIONS_PER_DAY + MACHINE_FAILURES_PER_DAY
-SECONDS_PER_DAY = 86_400
-CHANGES_PER_S = CHANGES_PER_DAY / SECONDS_PER_DAY
+CHANGES_PER_DAY = RESTARTS_A_DAY * STATES_PER_RESTART + CONFIGURATIONS_A_DAY + FAILURES_A_DAY
+CHANGES_PER_S = CHANGES_PER_DAY / DAY_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/benchmarks/scale/queries.py
+++ b/benchmarks/scale/queries.py
@@ -12,11 +12,12 @@
 from statistics import median
 
 from scale.figures import Figure, Kind, Part
+from scale.fleetsize import NODES
 from scale.processor import collector_of_a_broker
 from scale.query_bytes import BytesCost, QueryBytes
 from scale.query_load import Counts, Fleet, QueryLoad
 from scale.query_sockets import measured
-from scale.target import NODES, PARTS, QUERIES_PER_BROKER_S, REACH
+from scale.target import PARTS, QUERIES_PER_BROKER_S, REACH
 
 
 @dataclass(frozen=True, slots=True)
--- a/benchmarks/scale/query_load.py
+++ b/benchmarks/scale/query_load.py
@@ -20,7 +20,8 @@
 from badgerbend.platform.tally import Tally
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.ports import Attempt, PartPlan, QueryPlan
-from scale.target import CLASS, QUERIES_PER_BROKER_S, ZONES, configuration
+from scale.fleetsize import ZONES
+from scale.target import CLASS, QUERIES_PER_BROKER_S, configuration
 
 ANSWER_MS = (4, 16)  # the quickest and slowest answer of a warm node
 DRAWN = 10_007  # answer times drawn beforehand, then taken in a circle
--- a/benchmarks/scale/target.py
+++ b/benchmarks/scale/target.py
@@ -7,13 +7,11 @@
 import msgspec
 
 from badgerbend.platform import config
+from scale.fleetsize import BROKERS, ZONES
 
-BROKERS = 1_900
-NODES = 13_000
 QUERIES_PER_S = 420_000  # over all brokers
 PARTS = 210  # nodes that a query goes to
 AIM_MS = 54.0  # 99 of 100 answers come within this
-ZONES = 8
 REACH = 3  # consecutive cells that hold a shard
 QUERIES_PER_BROKER_S = QUERIES_PER_S / BROKERS
 
--- a/tests/test_capacity_lists.py
+++ b/tests/test_capacity_lists.py
@@ -10,11 +10,12 @@
 
 from scale import lists, queries
 from scale.figures import fitted
+from scale.fleetsize import BROKERS, ZONES
 from scale.list_memory import MEGABYTE, memory_of
 from scale.list_reading import Reader
 from scale.list_rows import FORMS, ConsulForm, MembersForm, nodes_of, turned
 from scale.query_load import Fleet, QueryLoad
-from scale.target import BROKERS, PARTS, QUERIES_PER_BROKER_S, QUERIES_PER_S, ZONES
+from scale.target import PARTS, QUERIES_PER_BROKER_S, QUERIES_PER_S
 
 SEED = 1
 LIST_SIZES, QUERY_SIZES = lists.PART.small, queries.PART.small
