--- /dev/null
+++ b/benchmarks/scale/feed_control.py
@@ -0,0 +1,61 @@
+"""One control machine without agreement: commands of the publisher are applied to the log as they come.
+
+Agreement among voters is not part of this scale test; a publication's time lacks its round trips.
+"""
+
+from __future__ import annotations
+
+import time
+
+from badgerbend.duties.messages import Grant, encode
+from badgerbend.feed.log import PublicationLog, Retention
+from badgerbend.feed.machine import PUBLISH, FeedMachine
+from badgerbend.feed.messages import Change
+from badgerbend.feed.publisher import Publisher, PublisherTuning
+from badgerbend.feed.signature import Ed25519Signer, Ed25519Verifier
+
+SIGNER = Ed25519Signer(bytes(range(32)))
+VERIFIER = Ed25519Verifier(SIGNER.public_key())
+
+
+class Control:
+    """Publisher and log. cpu_s: processor time of both so far."""
+
+    def __init__(self, retention: Retention) -> None:
+        self.machine = FeedMachine(retention)
+        self.publisher = Publisher(self.machine.log, lambda change: "", SIGNER, PublisherTuning())
+        self.cpu_s = 0.0
+        self._index = 0
+        self._apply(encode(Grant(PUBLISH, "control-1", self.machine.table.lease(PUBLISH).epoch)))
+        self.publisher.lead(0.0, self.machine.table.lease(PUBLISH).epoch)
+
+    @property
+    def log(self) -> PublicationLog:
+        return self.machine.log
+
+    def submit(self, now: float, changes: tuple[Change, ...]) -> None:
+        """Raises ValueError for changes that the publisher refuses."""
+        began = time.process_time()
+        problems = self.publisher.submit(now, changes)
+        self.cpu_s += time.process_time() - began
+        if problems:
+            raise ValueError(problems[0].reason)
+
+    def pump(self, now: float) -> bool:
+        """Has what is due agreed on; whether the log has grown."""
+        began = time.process_time()
+        before = self.log.revision
+        self.publisher.tick(now)
+        for command in self.publisher.take():
+            self._apply(command)
+        self.publisher.published(now)
+        self.cpu_s += time.process_time() - began
+        return self.log.revision > before
+
+    def forget_past(self) -> None:
+        """The log as after a restart from its dump: content and checkpoint stand, publications are gone."""
+        self.machine.load(self.machine.dump())
+
+    def _apply(self, command: bytes) -> None:
+        self._index += 1
+        self.machine.apply(self._index, command)
