--- a/benchmarks/scale/feed.py
+++ b/benchmarks/scale/feed.py
@@ -12,15 +12,15 @@
 from collections.abc import Sequence
 
 from scale.feed_alone import Alone, alone
-from scale.feed_content import DAY_S, ROW_CHANGES_A_DAY
+from scale.feed_content import ROW_CHANGES_A_DAY
 from scale.feed_figures import MEGABYTE
 from scale.feed_fleet import Fleet
 from scale.feed_scenarios import FULL, SMALL, Plan, Scenarios
 from scale.feed_today import WholeList, whole_list
 from scale.figures import Figure, Kind, Part
+from scale.fleetsize import BROKERS, DAY_S
 
 FULL_SIZES, SMALL_SIZES = (100, 400, 1_900), (8, 16, 32)
-TARGET = 1_900
 ROW_CHANGES_A_SECOND = ROW_CHANGES_A_DAY / DAY_S
 
 
@@ -78,4 +78,4 @@
     ]
 
 
-PART = Part("feed", "followers", FULL_SIZES, SMALL_SIZES, TARGET, measure)
+PART = Part("feed", "followers", FULL_SIZES, SMALL_SIZES, BROKERS, measure)
--- a/benchmarks/scale/feed_fleet.py
+++ b/benchmarks/scale/feed_fleet.py
@@ -12,7 +12,7 @@
 from types import TracebackType
 
 from badgerbend.feed.messages import Change
-from scale.feed_content import ZONES, ContentChanges
+from scale.feed_content import ContentChanges
 from scale.feed_messages import (
     Address,
     Audit,
@@ -36,6 +36,7 @@
     StopZone,
 )
 from scale.feed_process import Child
+from scale.fleetsize import ZONES
 
 REGIONS = ("north", "east", "south")
 RELAY_REGIONS = ("north", "north", "north", "east", "east", "south", "south")
--- a/benchmarks/scale/feed_followers.py
+++ b/benchmarks/scale/feed_followers.py
@@ -11,7 +11,6 @@
 from badgerbend.feed.follower import Follower, FollowerTuning
 from badgerbend.feed.messages import Change
 from badgerbend.feednet.follower import FollowerClient
-from scale.feed_content import ZONES
 from scale.feed_control import VERIFIER
 from scale.feed_messages import (
     Audit,
@@ -32,6 +31,7 @@
 )
 from scale.feed_relays import relay_address
 from scale.feed_usage import peak_bytes, resident_bytes
+from scale.fleetsize import ZONES
 
 MANY_CHANGES = 2_000  # of one installation: a snapshot, whose content is shared as a whole
 TUNING = FollowerTuning()
--- a/benchmarks/scale/feed_today.py
+++ b/benchmarks/scale/feed_today.py
@@ -13,7 +13,8 @@
 
 from badgerbend.discovery.directory import Reading, listed
 from badgerbend.discovery.lines import consul_directory
-from scale.feed_content import CELLS, ZONES
+from scale.feed_content import CELLS
+from scale.fleetsize import ZONES
 
 RUNS = 5
 
