--- a/badgerbend/feed/relay.py
+++ b/badgerbend/feed/relay.py
@@ -258,7 +258,8 @@
         while self._queue and len(self._loading) < self.tuning.snapshots_at_once:
             self._begin_snapshot(now, self._queue.popleft())
         for number in list(self._loading):
-            self._send_pieces(now, number, self.sessions[number])
+            if number in self._loading:  # the end of another's may have led to the end of this one
+                self._send_pieces(now, number, self.sessions[number])
         waits = self._allowance <= 0 and bool(self._loading)
         self._pace_at = now - self._allowance / self.tuning.snapshot_bytes_per_second if waits else math.inf
 
