--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -462,7 +462,7 @@
 
     def withhold(data):
         (message,) = reader.feed(data)
-        return b"" if isinstance(message, Publication) else data
+        return data if isinstance(message, Heartbeat) else b""
 
     made.damage = withhold
     made.publish(change("a", "1"))
