--- a/badgerbend/feed/relay.py
+++ b/badgerbend/feed/relay.py
@@ -210,7 +210,7 @@
         session.position, session.digest = message.revision, message.digest
         session.in_force = message.revision
         self._send(now, number, session, frame(self._heartbeat(now)))
-        if message.wants_snapshot:
+        if message.wants_snapshot or (message.revision == 0 and self.log.revision > 0):  # a whole past is not paced
             self._queue_snapshot(now, number, session)
             return
         session.phase = Phase.STREAMING
