A connection accepted while a relay stops is closed; bytes that wait are told

Cause: a connection whose accept had begun before RelayServer.stop was opened after it, stayed in its table and was served on by a relay that had stopped. Change: an opening after the stop ends the connection. RelayServer.connections and waiting_most, MessageStream.waiting tell how many connections stand and how many bytes wait for sockets.

--- a/badgerbend/feednet/relay.py
+++ b/badgerbend/feednet/relay.py
@@ -56,6 +56,15 @@
             self._pump_again()
         self._wake_up.set(self.relay.next_at)
 
+    @property
+    def connections(self) -> int:
+        """Connections that stand."""
+        return len(self._streams)
+
+    def waiting_most(self) -> int:
+        """Bytes that wait for the socket of the slowest follower."""
+        return max((stream.waiting for stream in self._streams.values()), default=0)
+
     async def stop(self) -> None:
         """Closes the socket and all connections."""
         self._wake_up.cancel()
@@ -72,6 +81,9 @@
 
     # -- the connections' side
     def stream_opened(self, stream: MessageStream) -> None:
+        if self._server is None or not self._server.is_serving():
+            stream.end()  # it was accepted just before the stop
+            return
         self.accepted += 1
         self._streams[stream.number] = stream
         self.relay.opened(self.clock(), stream.number)
--- a/badgerbend/feednet/stream.py
+++ b/badgerbend/feednet/stream.py
@@ -38,6 +38,11 @@
         self._transport: asyncio.Transport | None = None
         self._ended = False
 
+    @property
+    def waiting(self) -> int:
+        """Bytes written that the socket has not taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def write(self, data: bytes) -> None:
         """Sends a frame, if the connection still stands."""
         if self._transport is not None and not self._ended:
