Followers that wait for their turn to load stay with their relay

At 16 MB/s that begins where followers times packed content pass 480 MB. Change: a heartbeat to one that is queued or loading announces the revision it was sent up to, with an unknown age.

--- a/badgerbend/feed/relay.py
+++ b/badgerbend/feed/relay.py
@@ -313,14 +313,15 @@
 
     def _beat(self, now: float) -> None:
         """A heartbeat to all, and an end to those that take or say nothing."""
-        data = frame(self._heartbeat(now))
+        newest = frame(self._heartbeat(now))
         for number, session in list(self.sessions.items()):
             reason = self._failing(now, session)
             if reason:
                 self.cut += 1
                 self._cut(now, number, reason)
             elif session.phase is not Phase.GREETING and session.in_flight < self.tuning.window:
-                self._send(now, number, session, data)
+                waits = session.phase in (Phase.QUEUED, Phase.LOADING)
+                self._send(now, number, session, _waiting_heartbeat(session) if waits else newest)
 
     def _failing(self, now: float, session: _Session) -> str:
         """Why a follower's connection is given up, or nothing."""
@@ -341,3 +342,8 @@
     def _cut(self, now: float, number: int, reason: str) -> None:
         self._actions.append(Close(number, reason))
         self.closed(now, number)
+
+
+def _waiting_heartbeat(session: _Session) -> bytes:
+    """To a follower that waits for its snapshot: it announces nothing that others' loads hold up, and no age."""
+    return frame(Heartbeat(session.epoch, session.position, round(LONGEST_AGE_S * 1000.0)))
