Hard cases of the feed over loopback, with relays and followers as processes

Cause: the feed's cores were tested on a clock of the test's, its sockets in one process and without faults.

--- /dev/null
+++ b/tests/feed_process.py
@@ -0,0 +1,246 @@
+"""One process of the feed for tests: `python -m tests.feed_process SETUP`, commands on stdin, events on stdout.
+
+The setup is a JSON object of `tests.feed_lines`. The process ends with its stdin.
+"""
+
+import asyncio
+import random
+import sys
+
+from badgerbend.feed.content import Content
+from badgerbend.feed.follower import Follower
+from badgerbend.feed.framing import FrameReader
+from badgerbend.feed.messages import Publication, SnapshotPiece
+from badgerbend.feed.relay import Phase, Relay, SendTo
+from badgerbend.feednet.follower import FollowerClient
+from badgerbend.feednet.relay import RelayServer
+from badgerbend.feednet.timer import monotonic
+from tests.feed_lines import (
+    UNKNOWN_AGE_S,
+    Fill,
+    FollowersReport,
+    FollowerState,
+    Installed,
+    Listening,
+    PieceCame,
+    Publish,
+    Published,
+    Refused,
+    RelayReport,
+    RelaySetup,
+    Report,
+    decode_command,
+    decode_setup,
+    encode_line,
+)
+from tests.feed_stage import VERIFIER, Control, change
+
+CONFIRM_EVERY_S = 0.05
+
+
+def tell(event):
+    """An event for the test, at once."""
+    sys.stdout.buffer.write(encode_line(event))
+    sys.stdout.buffer.flush()
+
+
+class RememberingClock:
+    """The monotonic clock, and what it said last: the time that a core was last called with."""
+
+    def __init__(self):
+        self.last = 0.0
+
+    def __call__(self):
+        self.last = monotonic()
+        return self.last
+
+
+class MeasuredRelay(Relay):
+    """A relay that measures what it wants sent."""
+
+    def __init__(self, name, log, tuning, clock):
+        super().__init__(name, log, tuning)
+        self.clock = clock
+        self.loading_most = self.in_flight_most = self.largest_frame = self.largest_piece = self.snapshot_bytes = 0
+        self.over_pace = self.over_pace_most = 0.0
+        self._leaked_at = 0.0
+
+    def take(self):
+        actions = super().take()
+        for action in actions:
+            if isinstance(action, SendTo):
+                self._measure(action.frame)
+        sessions = self.sessions.values()
+        self.loading_most = max(self.loading_most, sum(session.phase is Phase.LOADING for session in sessions))
+        self.in_flight_most = max(self.in_flight_most, max((session.in_flight for session in sessions), default=0))
+        return actions
+
+    def _measure(self, frame):
+        size = len(frame)
+        self.largest_frame = max(self.largest_frame, size)
+        (message,) = FrameReader().feed(frame)
+        if not isinstance(message, SnapshotPiece):
+            return
+        passed = self.clock.last - self._leaked_at
+        self._leaked_at = self.clock.last
+        self.over_pace = max(self.over_pace - passed * self.tuning.snapshot_bytes_per_second, 0.0) + size
+        self.over_pace_most = max(self.over_pace_most, self.over_pace)
+        self.largest_piece = max(self.largest_piece, size)
+        self.snapshot_bytes += size
+
+
+class ReportingOwner:
+    """Keeps what is in force and reports each install with its digest."""
+
+    def __init__(self, name, installed=lambda: None):
+        self.name, self.installed = name, installed
+        self.in_force, self.revision = Content(), 0
+
+    def install(self, revision, changes):
+        self.in_force.apply(changes)
+        self.revision = revision
+        tell(Installed(self.name, revision, self.in_force.digest().hex()))
+        self.installed()
+        return ""
+
+    def rejected(self, relay, error):
+        tell(Refused(self.name, relay, type(error).__name__))
+
+
+class ReportingClient(FollowerClient):
+    """Reports each piece of a snapshot too, and counts publications."""
+
+    publications = 0
+
+    def stream_message(self, stream, message):
+        if isinstance(message, Publication):
+            self.publications += 1
+        if isinstance(message, SnapshotPiece):
+            tell(PieceCame(self.follower.name, self.follower.relay.name))
+        super().stream_message(stream, message)
+
+
+class RelayProcess:
+    """A relay that publishes, or one that re-publishes its upstream's."""
+
+    def __init__(self, setup):
+        self.setup = setup
+        self.clock = RememberingClock()
+        self.random = random.Random(1)
+        self.control = self.client = None
+        self.waiting_most = 0
+        log = self._log()
+        self.relay = MeasuredRelay(setup.name, log, setup.tuning, self.clock)
+        self.server = RelayServer(self.relay, self.clock)
+
+    def _log(self):
+        setup = self.setup
+        if not setup.upstream:
+            self.control = Control(setup.retention)
+            self.control.grant()
+            return self.control.machine.log
+        follower = Follower(
+            setup.name, setup.region, setup.upstream, VERIFIER, setup.upstream_tuning, 0, setup.retention
+        )
+        self.client = ReportingClient(follower, ReportingOwner(setup.name, self._republish))
+        return follower.log
+
+    async def start(self):
+        tell(Listening(await self.server.start("127.0.0.1", 0)))
+        if self.client is not None:
+            self.client.start()
+        self.confirming = asyncio.create_task(self._confirm())
+
+    async def carry_out(self, command):
+        match command:
+            case Publish():
+                self._publish([change(key, value) for key, value in command.changes])
+            case Fill():
+                for _ in range(command.batches):
+                    self._publish(self._rows(command))
+                    await asyncio.sleep(0)
+            case Report():
+                tell(self._report())
+
+    def _rows(self, fill):
+        return [
+            change(f"{fill.prefix}/{i}", self.random.randbytes(fill.value_bytes // 2).hex()) for i in range(fill.rows)
+        ]
+
+    def _publish(self, changes):
+        problems = self.control.publish(self.clock(), *changes)
+        assert not problems, problems
+        log = self.relay.log
+        tell(Published(log.revision, log.checkpoint.content.hex()))
+        self._republish()
+
+    def _republish(self):
+        self.server.published()
+        self.waiting_most = max(self.waiting_most, self.server.waiting_most())
+
+    async def _confirm(self):
+        """Tells the relay up to when its log is known to be the newest."""
+        while True:
+            now = self.clock()
+            age = 0.0 if self.client is None else self.client.follower.age_s(now)
+            self.server.confirmed(now - age)
+            await asyncio.sleep(CONFIRM_EVERY_S)
+
+    def _report(self):
+        relay = self.relay
+        return RelayReport(
+            revision=relay.log.revision,
+            digest=relay.log.content.digest().hex(),
+            followers=relay.summary().followers,
+            blocked=tuple(s.name for s in relay.sessions.values() if s.in_flight >= relay.tuning.window),
+            snapshots_begun=relay.snapshots_begun,
+            cut=relay.cut,
+            loading_most=relay.loading_most,
+            in_flight_most=relay.in_flight_most,
+            waiting_most=self.waiting_most,
+            over_pace_most=relay.over_pace_most,
+            largest_frame=relay.largest_frame,
+            largest_piece=relay.largest_piece,
+            snapshot_bytes=relay.snapshot_bytes,
+        )
+
+
+class FollowersProcess:
+    """Many followers that only follow."""
+
+    def __init__(self, setup):
+        self.owners = [ReportingOwner(f"{setup.region}-{i}") for i in range(setup.count)]
+        self.clients = [
+            ReportingClient(Follower(owner.name, setup.region, setup.relays, VERIFIER, setup.tuning, seed), owner)
+            for seed, owner in enumerate(self.owners)
+        ]
+
+    async def start(self):
+        for client in self.clients:
+            client.start()
+
+    async def carry_out(self, command):
+        match command:
+            case Report():
+                tell(FollowersReport(tuple(map(self._state, self.clients, self.owners))))
+
+    def _state(self, client, owner):
+        follower = client.follower
+        relay = None if follower.relay is None else follower.relay.name
+        age = min(follower.age_s(monotonic()), UNKNOWN_AGE_S)
+        digest = owner.in_force.digest().hex()
+        return FollowerState(owner.name, relay, owner.revision, digest, client.publications, age)
+
+
+async def main(text):
+    setup = decode_setup(text)
+    process = RelayProcess(setup) if isinstance(setup, RelaySetup) else FollowersProcess(setup)
+    await process.start()
+    lines = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
+    while line := await lines.readline():
+        await process.carry_out(decode_command(line))
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1]))
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -543,6 +543,21 @@
     assert all(f.log.checkpoint == made.relay.log.checkpoint for f in made.followers.values())
 
 
+def test_a_snapshot_that_ends_amid_the_end_of_another_is_not_sent_on():
+    """Compaction passes the first snapshot's revision: at its end its follower queues again, and the second ends."""
+    made = full_stage(Retention(publications=2), snapshots_at_once=2, snapshot_burst=1, snapshot_bytes_per_second=1)
+    made.publish(change("node/1", "ready"))
+    first = made.follower("a")
+    for i in range(4):
+        made.publish(change("node/1", f"draining {i}"))
+    second = made.follower("b")
+    assert [made.relay.snapshots_begun, first.log.revision, second.log.revision] == [2, 0, 0]
+    made.relay.tuning = RelayTuning()
+    made.pass_time(1.0)
+    for follower in (first, second):
+        assert follower.log.checkpoint == made.relay.log.checkpoint
+
+
 def test_a_connection_that_does_not_say_who_it_is_ends():
     made = stage(hello_within=2.0)
     made.relay.opened(0.0, 99)
--- /dev/null
+++ b/tests/test_feed_faults.py
@@ -0,0 +1,497 @@
+"""The feed's hard cases over loopback: relays killed, stopped, lying or cut off; returns of many; drains amid loads."""
+
+import asyncio
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from badgerbend.feed.content import Content
+from badgerbend.feed.follower import Follower, FollowerTuning, RelayAddress
+from badgerbend.feed.follower import Phase as FollowerPhase
+from badgerbend.feed.framing import FrameReader, frame
+from badgerbend.feed.log import PublicationLog, Retention, changes_digest
+from badgerbend.feed.messages import Checkpoint, Publication, signed_bytes
+from badgerbend.feed.relay import Relay, RelayTuning, SendTo
+from badgerbend.feed.signature import Ed25519Signer
+from badgerbend.feed.snapshot import SnapshotImage
+from badgerbend.feednet.follower import FollowerClient
+from badgerbend.feednet.relay import RelayServer
+from badgerbend.feednet.stream import WRITE_HIGH
+from tests.feed_lines import Fill, FollowersSetup, Installed, PieceCame, Publish, Refused, RelaySetup
+from tests.feed_processes import (
+    FeedProcesses,
+    all_reach,
+    assert_true,
+    installs_of,
+    published,
+)
+from tests.feed_stage import VERIFIER, Control, change
+from tests.tcp_proxy import Link, TcpProxy
+from tests.test_feed_sockets import Owner
+
+QUICK = FollowerTuning(
+    start_spread=0.0, retry_least=0.02, retry_most=0.1, silence=2.0, status_every=0.1, status_idle=0.2
+)
+RELAY = RelayTuning(heartbeat=0.2)
+SLOW_LOAD = replace(RELAY, snapshot_bytes_per_second=100_000, snapshot_burst=40_000)  # some 0.4 s a piece
+SHORT_RETENTION = Retention(publications=8)
+CONTENT = Fill(batches=10, rows=250, value_bytes=1000)  # of the same 250 rows each time: an empty replica has to load
+LONGEST_S = 60.0
+FRESH_S, OLD_S = 1.5, 2.5  # ages of replicas that are connected to the publisher, and that surely are not
+
+
+def one(key, value):
+    """A batch of one change."""
+    return Publish(((key, value),))
+
+
+async def until(condition):
+    """Waits for something in this process."""
+    async with asyncio.timeout(LONGEST_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+# -- processes
+
+
+def begun_at(process, relay):
+    """Followers that got a piece of a snapshot from a relay."""
+    return {event.follower for event in process.seen(PieceCame) if event.relay == relay}
+
+
+def amid_a_snapshot(process):
+    """Whether a follower has some pieces of its first snapshot, and others have loaded theirs."""
+    pieces = Counter(event.follower for event in process.seen(PieceCame))
+    loaded = installs_of(process)
+    return loaded and any(count >= 2 for follower, count in pieces.items() if follower not in loaded)
+
+
+def test_followers_leave_a_relay_that_is_killed_amid_their_snapshots():
+    async def scene():
+        async with FeedProcesses() as all_of:
+            core, origin = await all_of.relay(RelaySetup(tuning=RELAY))
+            await published(core, CONTENT, CONTENT.batches)
+            (slow, slow_address), (_, other_address) = await all_of.relays(
+                RelaySetup("slow", "north", SLOW_LOAD, SHORT_RETENTION, upstream=(origin,), upstream_tuning=QUICK),
+                RelaySetup("other", "south", RELAY, SHORT_RETENTION, upstream=(origin,), upstream_tuning=QUICK),
+            )
+            await slow.next(Installed, 0)
+            followers = await all_of.followers(FollowersSetup(10, "north", (slow_address, other_address), QUICK))
+            await followers.until(amid_a_snapshot)
+            slow.kill()
+            newest = await published(core, one("node/1", "draining"))
+            await all_reach(followers, 10, newest)
+            assert begun_at(followers, "slow") & begun_at(followers, "other")
+            report = await followers.report()
+            assert {state.relay for state in report.followers} == {"other"}
+            assert {state.digest for state in report.followers} == {newest.digest}
+            assert_true(followers, core)
+
+    asyncio.run(scene())
+
+
+def test_a_stopped_follower_holds_a_window_at_most_is_cut_and_comes_back_by_a_snapshot():
+    async def scene():
+        async with FeedProcesses() as all_of:
+            tuning = replace(RELAY, window=100_000, stalled=1.0)
+            core, address = await all_of.relay(RelaySetup(tuning=tuning, retention=SHORT_RETENTION))
+            first = await published(core, one("node/1", "ready"))
+            stopped = await all_of.followers(FollowersSetup(1, "north", (address,), QUICK))
+            awake = await all_of.followers(FollowersSetup(1, "south", (address,), QUICK))
+            await asyncio.gather(all_reach(stopped, 1, first), all_reach(awake, 1, first))
+            before = await core.report()
+            stopped.stop()
+            large, batches = Fill(batches=10, rows=100, value_bytes=2000), 0
+            while (
+                "north-0" not in (await core.report()).blocked and batches < 500
+            ):  # until the sockets' own buffers are full
+                await published(core, large, large.batches)
+                batches += large.batches
+            newest = await published(core, Fill(batches=20, rows=1, value_bytes=10), 20)
+            report = await core.report_where(lambda report: report.cut > before.cut)
+            await core.report_where(lambda report: report.followers == 1)
+            assert report.in_flight_most <= tuning.window + report.largest_frame
+            assert report.waiting_most <= tuning.window + report.largest_frame + WRITE_HIGH
+            stopped.go_on()
+            await asyncio.gather(all_reach(stopped, 1, newest), all_reach(awake, 1, newest))
+            assert stopped.seen(PieceCame)
+            assert (await core.report()).snapshots_begun > before.snapshots_begun
+            assert_true(stopped, core)
+
+    asyncio.run(scene())
+
+
+def test_a_stopped_follower_of_a_quiet_feed_is_cut_and_comes_back_by_a_snapshot():
+    async def scene():
+        async with FeedProcesses() as all_of:
+            tuning = replace(RELAY, silent=2.0)
+            core, address = await all_of.relay(RelaySetup(tuning=tuning, retention=SHORT_RETENTION))
+            first = await published(core, one("node/1", "ready"))
+            followers = await all_of.followers(FollowersSetup(3, "north", (address,), QUICK))
+            await all_reach(followers, 3, first)
+            followers.stop()
+            await core.report_where(lambda report: report.followers == 0)
+            newest = await published(core, Fill(batches=20, rows=1, value_bytes=10), 20)
+            followers.go_on()
+            await all_reach(followers, 3, newest)
+            report = await core.report()
+            assert report.cut >= 3 and report.snapshots_begun >= 3
+            assert {tuple(revisions) for revisions in installs_of(followers).values()} == {(1, 21)}
+            assert_true(followers, core)
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("link", [Link.BLACK_HOLE, Link.REFUSED])
+@pytest.mark.parametrize("publications_kept", [4096, 50])
+def test_a_region_that_was_cut_off_serves_on_and_catches_up(link, publications_kept):
+    behind = 300
+
+    async def scene():
+        async with FeedProcesses() as all_of:
+            retention = Retention(publications=publications_kept)
+            core, origin = await all_of.relay(RelaySetup(tuning=RELAY, retention=retention))
+            first = await published(core, one("node/1", "ready"))
+            async with TcpProxy(origin.host, origin.port) as proxy:
+                through = replace(origin, port=proxy.listening_port)
+                (relay, address), (_, majority_address) = await all_of.relays(
+                    RelaySetup("minority", "south", RELAY, upstream=(through,), upstream_tuning=QUICK),
+                    RelaySetup("majority", "north", RELAY, upstream=(origin,), upstream_tuning=QUICK),
+                )
+                minority = await all_of.followers(FollowersSetup(5, "south", (address,), QUICK))
+                majority = await all_of.followers(FollowersSetup(5, "north", (majority_address,), QUICK))
+                await asyncio.gather(all_reach(minority, 5, first), all_reach(majority, 5, first))
+                await minority.report_where(lambda report: all(state.age_s < FRESH_S for state in report.followers))
+                before = await asyncio.gather(core.report(), relay.report())
+
+                proxy.cut(link)
+                newest = await published(core, Fill(batches=behind, rows=1, value_bytes=10), behind)
+                await all_reach(majority, 5, newest)
+                await minority.report_where(lambda report: all(state.age_s > OLD_S for state in report.followers))
+                report = await minority.report()
+                assert {(state.relay, state.revision) for state in report.followers} == {("minority", first.revision)}
+                assert {state.digest for state in report.followers} == {first.digest}
+                youngest = min(state.age_s for state in report.followers)
+                await majority.report_where(lambda report: all(state.age_s < youngest for state in report.followers))
+
+                proxy.heal()
+                await all_reach(minority, 5, newest)
+                await minority.report_where(lambda report: all(state.age_s < FRESH_S for state in report.followers))
+                after = await asyncio.gather(core.report(), relay.report())
+                snapshots = [
+                    now.snapshots_begun - then.snapshots_begun for now, then in zip(after, before, strict=True)
+                ]
+                taken = set(map(tuple, installs_of(minority).values()))
+                if publications_kept > behind:
+                    assert snapshots == [0, 0]
+                    assert taken == {tuple(range(first.revision, newest.revision + 1))}
+                else:
+                    assert snapshots == [1, 5]
+                    assert taken == {(first.revision, newest.revision)}
+                assert_true(minority, core)
+                assert_true(majority, core)
+
+    asyncio.run(scene())
+
+
+def test_a_follower_moves_to_another_relay_with_its_revision():
+    async def scene():
+        async with FeedProcesses() as all_of:
+            core, origin = await all_of.relay(RelaySetup(tuning=RELAY))
+            first = await published(core, one("node/1", "ready"))
+            (near, near_address), (far, far_address) = await all_of.relays(
+                RelaySetup("near", "north", RELAY, upstream=(origin,), upstream_tuning=QUICK),
+                RelaySetup("far", "south", RELAY, upstream=(origin,), upstream_tuning=QUICK),
+            )
+            await asyncio.gather(near.next(Installed, 0), far.next(Installed, 0))
+            followers = await all_of.followers(FollowersSetup(5, "north", (near_address, far_address), QUICK))
+            await all_reach(followers, 5, first)
+            halfway = await published(core, Fill(batches=100, rows=1, value_bytes=10), 100)
+            await followers.until(lambda process: len(process.seen(Installed)) > 50)
+            near.kill()
+            newest = await published(core, Fill(batches=100, rows=1, value_bytes=10), 100)
+            await all_reach(followers, 5, newest)
+            assert halfway.revision < newest.revision
+            expected = list(range(first.revision, newest.revision + 1))
+            assert list(installs_of(followers).values()) == [expected] * 5
+            report = await followers.report()
+            assert {state.publications for state in report.followers} == {len(expected) - 1}  # the first was loaded
+            assert {state.relay for state in report.followers} == {"far"}
+            assert (await far.report()).snapshots_begun == 0
+            assert_true(followers, core)
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("publications_kept", [4096, 8])
+def test_many_followers_that_return_at_once_load_within_the_pace(publications_kept):
+    many = 200
+
+    async def scene():
+        async with FeedProcesses() as all_of:
+            tuning = replace(
+                RELAY, snapshots_at_once=4, snapshot_bytes_per_second=8_000_000, snapshot_burst=200_000, window=70_000
+            )
+            retention = Retention(publications=publications_kept)
+            core, address = await all_of.relay(RelaySetup(tuning=tuning, retention=retention))
+            await published(core, Fill(batches=20, rows=150, value_bytes=1000), 20)
+            followers = await all_of.followers(
+                FollowersSetup(many, "north", (address,), replace(QUICK, silence=10.0, connect_timeout=10.0))
+            )
+            await followers.next(Installed, many // 10)
+            newest = await published(core, Fill(batches=20, rows=2, value_bytes=1000), 20)  # past the image's revision
+            await all_reach(followers, many, newest)
+            report = await core.report()
+            assert report.loading_most <= tuning.snapshots_at_once
+            assert report.over_pace_most <= tuning.snapshot_burst + report.largest_piece
+            assert report.snapshot_bytes > many * tuning.snapshot_burst / 4  # so the pace had something to bound
+            assert report.snapshots_begun >= many
+            states = (await followers.report()).followers
+            assert {state.digest for state in states} == {newest.digest}
+            assert_true(followers, core)
+
+    asyncio.run(scene())
+
+
+def test_followers_that_wait_for_their_turn_to_load_stay_with_their_relay():
+    many = 100
+
+    async def scene():
+        async with FeedProcesses() as all_of:
+            tuning = replace(RELAY, snapshots_at_once=4, snapshot_bytes_per_second=4_000_000, snapshot_burst=100_000)
+            core, address = await all_of.relay(RelaySetup(tuning=tuning))
+            newest = await published(core, Fill(batches=2, rows=150, value_bytes=1000), 2)
+            impatient = replace(QUICK, silence=10.0, connect_timeout=10.0, behind_most=0.5)
+            followers = await all_of.followers(FollowersSetup(many, "north", (address,), impatient))
+            await all_reach(followers, many, newest)
+            assert followers.seen(Refused) == []
+            assert (await core.report()).snapshots_begun == many
+            assert_true(followers, core)
+
+    asyncio.run(scene())
+
+
+def test_two_changes_of_one_key_in_one_batch():
+    async def scene():
+        async with FeedProcesses() as all_of:
+            core, address = await all_of.relay(RelaySetup(tuning=RELAY))
+            followers = await all_of.followers(FollowersSetup(2, "north", (address,), QUICK))
+            await published(core, Publish((("node/1", "ready"), ("node/1", "draining"))))
+            newest = await published(core, Publish((("node/2", "ready"), ("node/2", None))))
+            await all_reach(followers, 2, newest)
+            expected = Content()
+            expected.apply([change("node/1", "draining")])
+            assert newest.digest == expected.digest().hex()
+            assert_true(followers, core)
+
+    asyncio.run(scene())
+
+
+# -- relays of the test's own
+
+
+class LyingRelay(Relay):
+    """A relay of an honest log that sends what `lie` makes of each frame."""
+
+    def __init__(self, name, log, tuning):
+        super().__init__(name, log, tuning)
+        self.lie = lambda data: data
+
+    def take(self):
+        actions = []
+        for action in super().take():
+            actions.append(SendTo(action.session, self.lie(action.frame)) if isinstance(action, SendTo) else action)
+        return actions
+
+
+class CheckingOwner(Owner):
+    """Compares what is in force at each install with what the publisher agreed on."""
+
+    def __init__(self, truth):
+        super().__init__()
+        self.truth, self.false = truth, []
+
+    def install(self, revision, changes):
+        reason = super().install(revision, changes)
+        if self.held != self.truth[revision]:
+            self.false.append((revision, dict(self.held)))
+        return reason
+
+
+class LyingScene:
+    """A lying relay in the follower's own region and an honest one elsewhere, both of the same log."""
+
+    def __init__(self):
+        self.control = Control()
+        self.control.grant()
+        log = self.control.machine.log
+        self.truth = {}
+        self.liar, self.honest = LyingRelay("liar", log, RELAY), Relay("honest", log, RELAY)
+
+    async def __aenter__(self):
+        self.servers = [RelayServer(self.liar), RelayServer(self.honest)]
+        ports = [await server.start("127.0.0.1", 0) for server in self.servers]
+        addresses = [
+            RelayAddress(relay.name, region, "127.0.0.1", port)
+            for relay, region, port in zip((self.liar, self.honest), ("north", "south"), ports, strict=True)
+        ]
+        self.owner = CheckingOwner(self.truth)
+        tuning = replace(QUICK, silence=0.6)
+        self.client = FollowerClient(Follower("f", "north", addresses, VERIFIER, tuning, 0), self.owner)
+        return self
+
+    async def __aexit__(self, *_):
+        self.client.stop()
+        for server in self.servers:
+            await server.stop()
+        assert not self.owner.false  # whatever else the test has found
+
+    def publish(self, *changes):
+        assert not self.control.publish(self.servers[0].clock(), *changes)
+        log = self.control.machine.log
+        self.truth[log.revision] = dict(log.content.items())
+        for server in self.servers:
+            server.published()
+
+
+def decoded(data):
+    (message,) = FrameReader().feed(data)
+    return message
+
+
+def altered_changes(data):
+    """Other changes under the true checkpoint."""
+    message = decoded(data)
+    if not isinstance(message, Publication):
+        return data
+    return frame(Publication(message.checkpoint, (change("node/1", "gone"),)))
+
+
+def forged_checkpoint(data):
+    """A consistent publication, signed by another than the publisher."""
+    message = decoded(data)
+    if not isinstance(message, Publication):
+        return data
+    log = PublicationLog()
+    changes = (change("node/1", "gone"),)
+    content, digest = log.content.digest_after((change("node/2", "ready"), *changes)), changes_digest(changes)
+    epoch, revision = message.checkpoint.epoch, message.checkpoint.revision
+    signature = Ed25519Signer(bytes(32)).sign(signed_bytes(epoch, revision, content, digest))
+    return frame(Publication(Checkpoint(epoch, revision, content, digest, signature), changes))
+
+
+def flipped_bit(data):
+    return data[:-1] + bytes([data[-1] ^ 1])
+
+
+LIES = {
+    "altered changes": (altered_changes, "TamperedChanges"),
+    "forged checkpoint": (forged_checkpoint, "BadSignature"),
+    "flipped bit": (flipped_bit, "Malformed"),
+}
+
+
+@pytest.mark.parametrize("lie", LIES)
+def test_a_relay_that_lies_is_left_for_an_honest_one(lie):
+    falsify, error = LIES[lie]
+
+    async def scene():
+        async with LyingScene() as made:
+            made.publish(change("node/1", "ready"), change("node/2", "ready"))
+            made.client.start()
+            await made.owner.reaches(1)
+            made.liar.lie = falsify
+            made.publish(change("node/1", "draining"))
+            await made.owner.reaches(2)
+            assert made.owner.errors == [("liar", error)]
+            assert made.client.follower.relay.name == "honest"
+            assert made.owner.revisions == [1, 2] and made.honest.snapshots_begun == 0
+
+    asyncio.run(scene())
+
+
+def test_a_relay_that_replays_an_older_snapshot_is_left_for_an_honest_one():
+    async def scene():
+        async with LyingScene() as made:
+            made.publish(change("node/1", "ready"))
+            image = SnapshotImage(made.control.machine.log.content, made.control.machine.log.checkpoint)
+            replay = image.begin + image.piece(0)
+            made.publish(change("node/1", "draining"))
+            made.client.start()
+            await made.owner.reaches(2)
+            made.liar.lie = lambda data: replay if isinstance(decoded(data), Publication) else data
+            made.publish(change("node/3", "ready"))
+            await made.owner.reaches(3)
+            assert made.owner.errors == [("liar", "OutOfSequence")]
+            assert made.client.follower.relay.name == "honest"
+            assert made.owner.held["node/1"] == b"draining"
+
+    asyncio.run(scene())
+
+
+def test_a_relay_that_sends_half_a_frame_and_falls_silent_is_left_for_an_honest_one():
+    async def scene():
+        async with LyingScene() as made:
+            made.publish(change("node/1", "ready"))
+            made.client.start()
+            await made.owner.reaches(1)
+            halves = iter([True])
+            made.liar.lie = lambda data: data[: len(data) // 2] if next(halves, False) else b""
+            made.publish(change("node/1", "draining"))
+            await made.owner.reaches(2)
+            assert made.client.follower.relay.name == "honest"
+            assert made.owner.revisions == [1, 2] and made.honest.snapshots_begun == 0
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("publications_kept", [8, 2])
+def test_a_drain_wins_over_a_snapshot_of_earlier_content_that_is_on_its_way(publications_kept):
+    async def scene():
+        control = Control(Retention(publications=publications_kept))
+        control.grant()
+        relay = Relay("relay-1", control.machine.log, replace(RELAY, snapshot_bytes_per_second=1_000, snapshot_burst=1))
+        server = RelayServer(relay)
+        address = RelayAddress("relay-1", "north", "127.0.0.1", await server.start("127.0.0.1", 0))
+        for part in range(3):
+            control.publish(0.0, *[change(f"row/{part}/{i}", f"{i * 7919:08x}" * 10) for i in range(900)])
+        for i in range(9):  # an empty replica has to load
+            control.publish(0.0, change("node/5", "ready"), change("node/6", f"starting {i}"))
+        owners = [Owner() for _ in range(3)]
+        rows = [[], [], []]
+        clients = []
+        for place, owner in enumerate(owners):
+            owner.unusable = lambda changes, owner=owner, place=place: (
+                rows[place].append(owner.held.get("node/5")) or ""
+            )
+            follower = Follower(f"f{place}", "north", [address], VERIFIER, QUICK, place)
+            clients.append(FollowerClient(follower, owner))
+        for client in clients:
+            client.start()
+        try:
+            await until(lambda: all(client.follower.phase is FollowerPhase.LOADING for client in clients))
+            control.publish(0.0, change("node/5", "draining"))
+            for i in range(4):
+                control.publish(0.0, change("node/6", f"ready {i}"))
+            server.published()
+            assert all(client.follower.log.revision == 0 for client in clients)
+            relay.tuning = RELAY
+            server.published()  # it looks at its pace anew
+            for owner in owners:
+                await owner.reaches(control.machine.log.revision)
+                assert owner.held == dict(control.machine.log.content.items())
+            control.publish(0.0, change("node/6", "draining"))
+            server.published()
+            for owner, seen in zip(owners, rows, strict=True):
+                await owner.reaches(control.machine.log.revision)
+                drained = seen.index(b"draining")
+                assert seen[0] == b"ready"  # the snapshot was of before
+                assert set(seen[drained:]) == {b"draining"}
+        finally:
+            for client in clients:
+                client.stop()
+            await server.stop()
+
+    asyncio.run(scene())
--- a/tests/test_feed_sockets.py
+++ b/tests/test_feed_sockets.py
@@ -1,6 +1,9 @@
 """The feed over loopback sockets, in one process: a relay, followers, and what lies between them."""
 
 import asyncio
+import socket
+
+import pytest
 
 from badgerbend.feed.follower import Follower, FollowerTuning, RelayAddress
 from badgerbend.feed.log import Retention
@@ -97,6 +100,23 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("turns", range(8))
+def test_a_connection_that_is_accepted_while_the_relay_stops_does_not_stay(turns):
+    async def scene():
+        async with Fleet() as fleet:
+            with socket.socket() as late:
+                late.setblocking(False)
+                late.connect_ex(("127.0.0.1", fleet.port))
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await fleet.server.stop()
+                for _ in range(20):
+                    await asyncio.sleep(0)
+                assert not fleet.server.connections
+
+    asyncio.run(scene())
+
+
 def test_a_configuration_that_a_broker_cannot_use_is_reported_until_a_later_one_is_usable():
     async def scene():
         async with Fleet() as fleet:
