--- a/badgerbend/feed/relay.py
+++ b/badgerbend/feed/relay.py
@@ -210,7 +210,7 @@
         session.position, session.digest = message.revision, message.digest
         session.in_force = message.revision
         self._send(now, number, session, frame(self._heartbeat(now)))
-        if message.wants_snapshot:
+        if message.wants_snapshot or (message.revision == 0 and self.log.revision > 0):  # a whole past is not paced
             self._queue_snapshot(now, number, session)
             return
         session.phase = Phase.STREAMING
@@ -258,7 +258,8 @@
         while self._queue and len(self._loading) < self.tuning.snapshots_at_once:
             self._begin_snapshot(now, self._queue.popleft())
         for number in list(self._loading):
-            self._send_pieces(now, number, self.sessions[number])
+            if number in self._loading:  # the end of another's may have led to the end of this one
+                self._send_pieces(now, number, self.sessions[number])
         waits = self._allowance <= 0 and bool(self._loading)
         self._pace_at = now - self._allowance / self.tuning.snapshot_bytes_per_second if waits else math.inf
 
@@ -312,14 +313,15 @@
 
     def _beat(self, now: float) -> None:
         """A heartbeat to all, and an end to those that take or say nothing."""
-        data = frame(self._heartbeat(now))
+        newest = frame(self._heartbeat(now))
         for number, session in list(self.sessions.items()):
             reason = self._failing(now, session)
             if reason:
                 self.cut += 1
                 self._cut(now, number, reason)
             elif session.phase is not Phase.GREETING and session.in_flight < self.tuning.window:
-                self._send(now, number, session, data)
+                waits = session.phase in (Phase.QUEUED, Phase.LOADING)
+                self._send(now, number, session, _waiting_heartbeat(session) if waits else newest)
 
     def _failing(self, now: float, session: _Session) -> str:
         """Why a follower's connection is given up, or nothing."""
@@ -340,3 +342,8 @@
     def _cut(self, now: float, number: int, reason: str) -> None:
         self._actions.append(Close(number, reason))
         self.closed(now, number)
+
+
+def _waiting_heartbeat(session: _Session) -> bytes:
+    """To a follower that waits for its snapshot: it announces nothing that others' loads hold up, and no age."""
+    return frame(Heartbeat(session.epoch, session.position, round(LONGEST_AGE_S * 1000.0)))
