A voter takes a machine of its owner's and says when its content was confirmed

Cause: Voter made its own table of leases, so that the feed's machine (table and publications) could not run under it; and a relay needs to know since when nothing newer was agreed on.

Change: Voter takes an optional machine that has a table; `propose` takes the bytes of a command; `confirm` asks for a round of heartbeats, and `confirmed_at` says when the machine last held all that was agreed on. On a leader that is exact. On a voter that follows it is the time at which a message of its leader was heard, with all applied that the leader had committed: too late by 2 * election_s at most, beside messages and processes that were held up, as the comment there says. Nothing changes for who asks for none of this.

--- a/badgerbend/duties/voter.py
+++ b/badgerbend/duties/voter.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from badgerbend.consensus import messages as voting
 from badgerbend.consensus.log import Kept
-from badgerbend.consensus.raft import Applied, Confirmed, Follows, Leads, Raft, Tuning
+from badgerbend.consensus.raft import Applied, Confirmed, Follows, Leads, Machine, Raft, Role, Tuning
 from badgerbend.duties.holder import Terms
 from badgerbend.duties.keeper import Keeper
 from badgerbend.duties.messages import Command, Leave, Line, Told, Want, encode
@@ -29,27 +31,55 @@
     notes: list[tuple[str, dict[str, object]]] = field(default_factory=list)  # for the log
 
 
+class TableMachine(Machine, Protocol):
+    """A machine of the agreed log that holds the table of leases beside state of its own."""
+
+    @property
+    def table(self) -> Table: ...
+
+
 class Voter:
-    """`kept`: what its disk holds."""
+    """`kept`: what its disk holds. machine: what the log drives, a bare table of leases unless said otherwise."""
 
     raft_kind: type[Raft] = Raft
     keeper_kind: type[Keeper] = Keeper
 
-    def __init__(self, name: str, kept: Kept, tuning: Tuning, terms: Terms, seed: int, now: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        kept: Kept,
+        tuning: Tuning,
+        terms: Terms,
+        seed: int,
+        now: float,
+        machine: TableMachine | None = None,
+    ) -> None:
         self.name, self.terms = name, terms
-        self.table = Table()
-        self.raft = self.raft_kind(name, kept, self.table, tuning, seed, now)
+        self.table = Table() if machine is None else machine.table
+        self.raft = self.raft_kind(name, kept, self.table if machine is None else machine, tuning, seed, now)
         self.keeper = self.keeper_kind(self.table, terms, seed + 1)
         self.told: list[tuple[str, Told]] = []
         self.notes: list[tuple[str, dict[str, object]]] = []
         self.pending: dict[int, tuple[float, Want]] = {}
         self.renewals = 0
+        self.confirmed_at = -math.inf
+        """The latest time at which the machine surely held all that was agreed on.
+
+        A leader's own is exact: the time of a `confirm` that a round of heartbeats answered. A voter that follows
+        counts the time at which it heard its leader, once it has applied all that the leader had committed. A leader
+        cut off from the majority speaks on until check-quorum ends its lead, so that this time is too late by at most
+        2 * election_s, and beside that by as long as the majority's last answers and the leader's message were under
+        way or waited in a process that stood still: the voter cannot see those.
+        """
+        self._confirming: tuple[int, float] | None = None  # the token of `confirm`, and when it was called
         self._token = 0
         self._due_at = now
 
     # -- what happens
     def from_voter(self, now: float, message: voting.Message) -> None:
         self.raft.receive(now, message)
+        if isinstance(message, voting.Feed):
+            self._heard_leader(now, message)
         self._after(now)
 
     def from_broker(self, now: float, message: Want | Leave) -> None:
@@ -88,10 +118,20 @@
 
     def put(self, now: float, command: Command) -> int | None:
         """Proposes a command of the owner's; its index, or None where this voter does not lead."""
-        index = self.raft.propose(now, encode(command))
+        return self.propose(now, encode(command))
+
+    def propose(self, now: float, data: bytes) -> int | None:
+        """Proposes a command of the owner's machine; its index, or None where this voter does not lead."""
+        index = self.raft.propose(now, data)
         self._after(now)
         return index
 
+    def confirm(self, now: float) -> None:
+        """Asks for a round of heartbeats that moves `confirmed_at`; nothing happens where this voter does not lead."""
+        if self._confirming is None and self.leads and self.raft.read(now, self._token + 1):
+            self._token += 1
+            self._confirming = (self._token, now)
+
     def take(self) -> Out:
         writes, to_voters, _ = self.raft.take()
         out = Out(writes, to_voters, self.told, self.notes)
@@ -116,14 +156,24 @@
                         self.notes.append(("leads", {"term": term}))
                     case Follows(term, leader):
                         self.keeper.rest()
-                        self.pending = {}
+                        self.pending, self._confirming = {}, None
                         self.notes.append(("follows", {"term": term, "leader": leader}))
                     case Confirmed(token):
                         self._confirmed(token)
                     case Applied():
                         self._applied(now)
 
+    def _heard_leader(self, now: float, message: voting.Feed) -> None:
+        raft = self.raft
+        follows = raft.role is Role.FOLLOWER and (raft.term, raft.leader) == (message.term, message.source)
+        if follows and raft.applied >= message.commit:
+            self.confirmed_at = max(self.confirmed_at, now)
+
     def _confirmed(self, token: int) -> None:
+        if self._confirming is not None and token == self._confirming[0]:
+            self.confirmed_at = max(self.confirmed_at, self._confirming[1])
+            self._confirming = None
+            return
         received, want = self.pending.pop(token, (0.0, None))
         if want is not None:
             self.renewals += 1
