A publisher's changes go out again when another publication took their revision

Cause: Publisher.published took any growth of the log to its revision for its own publication. A publisher that loses the lease and finds it again under the same epoch may still have an earlier proposal on its way; when that stood, the changes accepted after it were dropped, neither published nor given back. The same between a later publisher's first publication and `rest`.

Change: it compares the checkpoint that stands (PublicationLog.checkpoint_at) with its own; if another stands, or it is not known which, the changes are the first to go out again.

--- a/badgerbend/feed/log.py
+++ b/badgerbend/feed/log.py
@@ -101,12 +101,17 @@
         at = revision - self.oldest
         return self._retained[at] if at < len(self._retained) else None
 
-    def digest_at(self, revision: int) -> bytes | None:
-        """The content's digest at a revision that is retained, None for others."""
+    def checkpoint_at(self, revision: int) -> Checkpoint | None:
+        """The checkpoint of a revision that is retained, None for others."""
         if revision == self.oldest:
-            return self._before.content
+            return self._before
         at = revision - self.oldest - 1
-        return self._retained[at].checkpoint.content if 0 <= at < len(self._retained) else None
+        return self._retained[at].checkpoint if 0 <= at < len(self._retained) else None
+
+    def digest_at(self, revision: int) -> bytes | None:
+        """The content's digest at a revision that is retained, None for others."""
+        checkpoint = self.checkpoint_at(revision)
+        return None if checkpoint is None else checkpoint.content
 
     def _retain(self, publication: Publication) -> None:
         if not self.retention.publications:
--- a/badgerbend/feed/publisher.py
+++ b/badgerbend/feed/publisher.py
@@ -100,6 +100,11 @@
         flying = self._flying
         if flying is None or self.log.revision < flying.checkpoint.revision:
             return
+        if self.log.checkpoint_at(flying.checkpoint.revision) != flying.checkpoint:
+            # Another publication took its revision, or it is not known: one proposed before this lease was lost and
+            # found again, or a later publisher's. The changes go out again on top of what stands.
+            self._waiting.extendleft(reversed(flying.changes))
+            self._waiting_since = min(self._waiting_since, now)
         self._flying, self._again_at = None, math.inf
         self._propose_next(now)
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -245,6 +245,21 @@
 # -- the publisher
 
 
+def test_changes_whose_revision_another_publication_took_go_out_again():
+    control = Control()
+    epoch = control.grant()
+    earlier = signed(control.machine.log, epoch, change("a", "proposed before the lease was lost and found again"))
+    assert control.publisher.submit(0.0, [change("b", "accepted after")]) == ()
+    control.publisher.tick(0.0)
+    control.publisher.take()
+    for command in split(earlier):  # the earlier proposal was late, and is the first to arrive
+        control.command(command)
+    control.publisher.published(0.0)
+    control.pump(0.0)
+    assert control.machine.log.revision == 2
+    assert entries(control.machine.log) == {"a": earlier.changes[0].value, "b": b"accepted after"}
+
+
 def test_a_bad_change_is_refused_with_its_whole_batch():
     control = Control(check=lambda change: "line 3: field `wait` is no number" if change.value == b"bad" else "")
     control.grant()
