A new leader that has committed nothing of its term confirms nobody's content

Cause: a voter that follows took any message of its leader for a word on what was agreed on, if it had applied up to the commit index in it.

Change: the message counts only once an entry of the leader's own term stands at its commit index.

--- a/badgerbend/duties/voter.py
+++ b/badgerbend/duties/voter.py
@@ -66,10 +66,11 @@
         """The latest time at which the machine surely held all that was agreed on.
 
         A leader's own is exact: the time of a `confirm` that a round of heartbeats answered. A voter that follows
-        counts the time at which it heard its leader, once it has applied all that the leader had committed. A leader
-        cut off from the majority speaks on until check-quorum ends its lead, so that this time is too late by at most
-        2 * election_s, and beside that by as long as the majority's last answers and the leader's message were under
-        way or waited in a process that stood still: the voter cannot see those.
+        counts the time at which it heard its leader, if it has applied all that the leader had committed and an entry
+        of the leader's own term is among that. A leader cut off from the majority speaks on until check-quorum ends
+        its lead, so that this time is too late by at most 2 * election_s, and beside that by as long as the majority's
+        last answers and the leader's message were under way or waited in a process that stood still: the voter cannot
+        see those.
         """
         self._confirming: tuple[int, float] | None = None  # the token of `confirm`, and when it was called
         self._token = 0
@@ -164,9 +165,11 @@
                         self._applied(now)
 
     def _heard_leader(self, now: float, message: voting.Feed) -> None:
+        """A leader knows what was agreed on once it has committed an entry of its own term; not before."""
         raft = self.raft
         follows = raft.role is Role.FOLLOWER and (raft.term, raft.leader) == (message.term, message.source)
-        if follows and raft.applied >= message.commit:
+        leader_knows = raft.log.term_at(message.commit) == message.term
+        if follows and leader_knows and raft.applied >= message.commit:
             self.confirmed_at = max(self.confirmed_at, now)
 
     def _confirmed(self, token: int) -> None:
