--- a/badgerbend/feed/follower.py
+++ b/badgerbend/feed/follower.py
@@ -161,8 +161,9 @@
         self.phase = Phase.STREAMING
         self._heard(now)
         self._home_at = now + self.tuning.home_after if self._abroad() else math.inf
-        hello = Hello(self.name, self.log.epoch, self.log.revision, self.log.content.digest(), self._damaged)
-        self._send(hello)
+        digest = self.log.content.digest()
+        self._damaged = self._damaged or digest != self.log.checkpoint.content
+        self._send(Hello(self.name, self.log.epoch, self.log.revision, digest, self._damaged))
         self._status_at = now
 
     def closed(self, now: float, attempt: int) -> None:
@@ -174,6 +175,9 @@
         """A message of the relay."""
         if attempt != self.attempt or self.phase not in (Phase.STREAMING, Phase.LOADING):
             return
+        if now >= self._deadline:  # this process stood still: how long ago a heartbeat was written, nobody knows
+            self._due(now)
+            return
         self._heard(now)
         try:
             match message:
@@ -195,7 +199,8 @@
         if attempt != self.attempt or self.relay is None:
             return
         self._actions.append(Rejected(self.relay.name, error))
-        if not isinstance(error, DigestMismatch):  # that one is the replica's own fault
+        own_fault = isinstance(error, DigestMismatch) and self._assembly is None  # the replica's, no snapshot's
+        if not own_fault:
             self._distrusted[self.relay.name] = now + self.tuning.distrust
         self._drop_connection()
         self._retry(now)
@@ -235,7 +240,11 @@
         return min(self._deadline, self._home_at, self._status_at)
 
     def age_s(self, now: float) -> float:
-        """How old the replica may be: so long ago nothing newer had been agreed on. Infinite before the first word."""
+        """How old the replica may be: so long ago nothing newer had been agreed on. Infinite before the first word.
+
+        Too low by as long as the last heartbeat was on its way: over a connection that takes a relay's window in less
+        than `silence`, no longer than that and one heartbeat.
+        """
         return max(now - self._as_of, 0.0)
 
     def take(self) -> list[Action]:
--- a/badgerbend/feed/relay.py
+++ b/badgerbend/feed/relay.py
@@ -20,6 +20,7 @@
 from badgerbend.feed.messages import MOST_LAGGARDS, Heartbeat, Hello, Laggard, Message, Status, Summary
 from badgerbend.feed.snapshot import SnapshotImage
 
+SNAPSHOT_BEGIN = -1  # the place of a snapshot's head before its pieces
 LONGEST_AGE_S = 1e9  # an age that is not known goes out as this one
 
 
@@ -69,7 +70,7 @@
 
     __slots__ = (
         "name", "phase", "epoch", "position", "digest", "in_force", "refused", "reason",
-        "image", "next_piece", "in_flight", "blocked_since", "heard_at",
+        "wants_snapshot", "image", "next_piece", "in_flight", "blocked_since", "heard_at",
     )  # fmt: skip
 
     def __init__(self, now: float) -> None:
@@ -78,6 +79,7 @@
         self.epoch = 0  # of what the follower held at its hello
         self.position = 0  # the revision up to which the follower has been sent everything
         self.digest: bytes | None = None  # of its content there, until it was compared with the log's
+        self.wants_snapshot = False  # whatever the follower holds, it cannot use it
         self.in_force = self.refused = 0
         self.reason = ""
         self.image: SnapshotImage | None = None
@@ -210,9 +212,7 @@
         session.position, session.digest = message.revision, message.digest
         session.in_force = message.revision
         self._send(now, number, session, frame(self._heartbeat(now)))
-        if message.wants_snapshot:
-            self._queue_snapshot(now, number, session)
-            return
+        session.wants_snapshot = message.wants_snapshot
         session.phase = Phase.STREAMING
         self._stream(now, number, session)
 
@@ -226,8 +226,8 @@
         """Sends what follows the session's place in the log, as far as the window lets it."""
         if session.position > self.log.revision:
             return  # the follower knows more than this relay; it hears when the log has passed it
-        if session.position < self.log.oldest or not self._same_past(session):
-            if session.position < self.log.revision or session.epoch < self.log.epoch:
+        if session.wants_snapshot or session.position < self.log.oldest or not self._same_past(session):
+            if session.wants_snapshot or session.position < self.log.revision or session.epoch < self.log.epoch:
                 self._queue_snapshot(now, number, session)
             return  # else it would refuse a snapshot: it waits for a later revision
         while session.in_flight < self.tuning.window:
@@ -258,7 +258,8 @@
         while self._queue and len(self._loading) < self.tuning.snapshots_at_once:
             self._begin_snapshot(now, self._queue.popleft())
         for number in list(self._loading):
-            self._send_pieces(now, number, self.sessions[number])
+            if number in self._loading:  # the end of another's may have brought this one to its own end
+                self._send_pieces(now, number, self.sessions[number])
         waits = self._allowance <= 0 and bool(self._loading)
         self._pace_at = now - self._allowance / self.tuning.snapshot_bytes_per_second if waits else math.inf
 
@@ -272,19 +273,20 @@
         session = self.sessions.get(number)
         if session is None or session.phase is not Phase.QUEUED:
             return
-        session.image, session.next_piece = self._image_now(), 0
+        session.image, session.next_piece = self._image_now(session.position), SNAPSHOT_BEGIN
         session.phase = Phase.LOADING
         self._loading.add(number)
         self.snapshots_begun += 1
-        self._send(now, number, session, session.image.begin)
 
-    def _image_now(self) -> SnapshotImage:
-        """The last image while the log leads on from it and is not far ahead; else a new one."""
+    def _image_now(self, held: int = -1) -> SnapshotImage:
+        """The last image while the log leads on from it and is not far ahead; else a new one. held: the revision of
+        the follower, which would refuse an image that is not later, unless it is of the log's own revision."""
         image = self._image
         if image is not None:
             behind = self.log.revision - image.checkpoint.revision
             same_past = self.log.digest_at(image.checkpoint.revision) == image.checkpoint.content
-            if same_past and behind <= self.tuning.image_behind:
+            later = not behind or image.checkpoint.revision > held
+            if same_past and later and behind <= self.tuning.image_behind:
                 return image
         self._image = SnapshotImage(self.log.content, self.log.checkpoint)
         return self._image
@@ -295,12 +297,12 @@
         while session.next_piece < image.pieces:
             if self._allowance <= 0 or session.in_flight >= self.tuning.window:
                 return
-            data = image.piece(session.next_piece)
+            data = image.begin if session.next_piece == SNAPSHOT_BEGIN else image.piece(session.next_piece)
             session.next_piece += 1
             self._allowance -= len(data)
             self._send(now, number, session, data)
         self._loading.discard(number)
-        session.image, session.digest = None, None
+        session.image, session.digest, session.wants_snapshot = None, None, False
         session.position, session.epoch = image.checkpoint.revision, image.checkpoint.epoch
         session.phase = Phase.STREAMING
         self._stream(now, number, session)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,9 +1,15 @@
 """The feed's pure cores: what is published, what a follower takes and refuses, what a relay holds back."""
 
+import math
 import zlib
 
 import pytest
 
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus.log import Kept, Log
+from badgerbend.consensus.raft import Tuning
+from badgerbend.duties.holder import Terms
+from badgerbend.duties.voter import Voter
 from badgerbend.feed.commands import split
 from badgerbend.feed.configuration import ConfigurationInForce, UnusableConfiguration
 from badgerbend.feed.content import Content
@@ -28,6 +34,7 @@
     Publication,
     SnapshotBegin,
     SnapshotPiece,
+    encode_changes,
     signed_bytes,
 )
 from badgerbend.feed.publisher import PublisherTuning
@@ -437,6 +444,65 @@
     assert made.relay.snapshots_begun == 1
 
 
+def test_a_replica_that_was_damaged_is_replaced_on_resumption_though_nothing_new_is_published():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("node/1", "ready"), change("node/2", "ready"))
+    made.disconnect("a")
+    follower.log.content.apply([change("node/1", "flipped")])
+    made.pass_time(2.0)
+    assert entries(follower.log) == {"node/1": b"ready", "node/2": b"ready"}
+    assert made.rejected["a"] == [] and made.relay.snapshots_begun == 1
+
+
+def test_an_image_older_than_a_followers_replica_is_not_sent_to_it():
+    made = full_stage(retention=Retention(publications=3))
+    made.publish(change("node/1", "one"))
+    made.publish(change("node/1", "two"))
+    follower = made.follower("a")  # with an image of this revision
+    made.publish(change("node/1", "three"))
+    made.disconnect("a")
+    follower.log.content.apply([change("node/2", "flipped")])
+    made.pass_time(2.0)
+    assert made.rejected["a"] == [] and made.relay.snapshots_begun == 2
+    assert follower.log.content.digest() == made.relay.log.content.digest()
+
+
+def test_a_damaged_replica_ahead_of_its_relay_waits_for_a_later_revision():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("a", "1"))
+    made.publish(change("a", "2"))
+    made.disconnect("a")
+    follower.log.content.apply([change("a", "flipped")])
+    newest, made.relay.log = made.relay.log, PublicationLog(Retention())
+    made.pass_time(2.0)
+    assert made.rejected["a"] == [] and follower.log.revision == 2
+    made.relay.log = newest
+    made.publish(change("b", "3"))
+    assert entries(follower.log) == {"a": b"2", "b": b"3"}
+
+
+def test_a_relay_whose_snapshot_is_not_the_signed_one_is_left_for_a_while():
+    made = stage()
+    made.publish(change("a", "1"))
+    relays = [ADDRESS, RelayAddress("relay-2", "north", "127.0.0.1", 2)]
+    follower = Follower("a", "north", relays, VERIFIER, FollowerTuning(start_spread=0.0), 1)
+    follower.start(0.0)
+    follower.tick(0.0)
+    (first,) = follower.take()
+    follower.connected(0.0, first.attempt)
+    altered = zlib.compress(encode_changes((change("a", "2"),)))
+    follower.received(0.0, first.attempt, SnapshotBegin(made.relay.log.checkpoint, 1))
+    follower.received(0.0, first.attempt, SnapshotPiece(0, altered))
+    assert follower.log.revision == 0
+    for second in range(1, 50):
+        follower.take()
+        follower.tick(float(second))
+        assert all(a.relay != first.relay for a in follower.take() if isinstance(a, Connect))
+        follower.closed(float(second), follower.attempt)
+
+
 def test_a_revision_that_goes_back_is_not_followed():
     made = stage()
     follower = made.follower("a")
@@ -470,6 +536,19 @@
     assert [type(error) for error in made.rejected["a"]] == [OutOfSequence]
 
 
+def test_a_follower_that_stood_still_does_not_believe_the_heartbeats_that_waited():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("a", "1"))
+    made.pass_time(1.0)
+    late = made.now + follower.tuning.silence + 1.0
+    age_s = follower.age_s(late)
+    checkpoint = follower.log.checkpoint
+    follower.received(late, follower.attempt, Heartbeat(checkpoint.epoch, checkpoint.revision, 0))
+    assert follower.age_s(late) == age_s
+    assert [type(action) for action in follower.take()] == [Disconnect]
+
+
 def test_a_relay_that_announces_and_does_not_send_is_left():
     made = stage()
     follower = made.follower("a", behind_most=5.0)
@@ -518,6 +597,35 @@
     assert made.followers["slow"].log.checkpoint == made.relay.log.checkpoint
 
 
+def test_a_follower_that_falls_behind_the_compaction_with_a_full_window_is_sent_nothing_more():
+    made = stage()
+    made.control.machine.log.retention = Retention(publications=4)
+    made.follower("a")
+    before = made.sent_bytes["a"]
+    made.publish(change("node/1", "x" * 1000))
+    size = made.sent_bytes["a"] - before
+    made.relay.tuning = RelayTuning(window=2 * size + 1)  # the third frame of this size is the last that fits
+    made.sent_bytes.clear()
+    made.hold.add("a")
+    for value in range(10):
+        made.publish(change("node/1", "x" * 999 + str(value)))
+    assert made.sent_bytes["a"] == 3 * size
+    made.release("a")
+    made.pass_time(1.0)
+    assert made.followers["a"].log.checkpoint == made.relay.log.checkpoint
+    assert made.relay.snapshots_begun == 1
+
+
+def test_snapshots_that_end_together_behind_the_compaction_begin_anew():
+    made = full_stage(retention=Retention(publications=1), snapshot_burst=100, snapshot_bytes_per_second=100)
+    followers = [made.follower(name) for name in ("a", "b")]
+    for value in range(3):
+        made.publish(change("node/1", str(value)))
+    made.relay.tuning = RelayTuning()  # now all of both may go out in one turn
+    made.pass_time(1.0)
+    assert all(f.log.checkpoint == made.relay.log.checkpoint for f in followers)
+
+
 def test_a_follower_that_is_slow_gets_all_in_order():
     made = stage(window=2_000)
     slow = made.follower("slow")
@@ -567,6 +675,49 @@
     assert ("nobody", "no hello") in made.closed
 
 
+# -- a voter with the feed's machine
+
+
+def voter_of(*names):
+    kept = Kept(log=Log(voting.Snapshot(0, 0, names, b"")))
+    return Voter("a", kept, Tuning(), Terms(), 1, 0.0, FeedMachine(DEFAULT_RETENTION))
+
+
+def heard(term, leader, previous, commit, *entries):
+    """A leader's message; previous: index and term of the entry before these."""
+    return voting.Feed(term, leader, *previous, entries, commit, 1)
+
+
+def test_a_voter_that_follows_is_confirmed_by_a_leader_that_knows_what_was_agreed_on():
+    voter = voter_of("a", "b", "c")
+    voter.from_voter(1.0, heard(1, "b", (0, 0), 0, voting.Entry(1, 1, voting.Kind.NOOP)))
+    assert voter.confirmed_at == -math.inf  # nothing of its term is committed
+    voter.from_voter(2.0, heard(1, "b", (1, 1), 1))
+    assert voter.confirmed_at == 2.0
+    voter.from_voter(3.0, heard(2, "c", (1, 1), 1, voting.Entry(2, 2, voting.Kind.NOOP)))
+    assert voter.confirmed_at == 2.0  # a new leader, that may not know yet what the last one committed
+    voter.from_voter(4.0, heard(2, "c", (2, 2), 3))
+    assert voter.confirmed_at == 2.0  # the leader has committed what this voter lacks
+    voter.from_voter(5.0, heard(2, "c", (2, 2), 2))
+    assert voter.confirmed_at == 5.0
+    voter.from_voter(6.0, heard(1, "b", (1, 1), 1))
+    assert voter.confirmed_at == 5.0  # a leader of the past
+
+
+def test_a_voter_that_leads_is_confirmed_as_of_when_it_asked():
+    voter = voter_of("a")
+    now = 0.0
+    while not voter.leads:
+        now = voter.next_at
+        voter.tick(now)
+        for number, _ in voter.take().writes:
+            voter.saved(now, number)
+    assert voter.confirmed_at == -math.inf
+    voter.confirm(now + 1.0)
+    voter.tick(now + 2.0)
+    assert voter.confirmed_at == now + 1.0
+
+
 # -- summaries
 
 
