A publisher repeats a proposal less and less often

Change: the pause doubles with each repeat of one publication, up to PublisherTuning.again_most (16 s).

A direct test.

--- a/badgerbend/feed/publisher.py
+++ b/badgerbend/feed/publisher.py
@@ -19,6 +19,7 @@
 from badgerbend.feed.signature import Signer
 
 HEAD_BYTES = 400  # of an encoded publication: all but its changes
+MOST_DOUBLINGS = 20  # of a pause, before its limit is looked at
 CHANGE_BYTES = 16  # what a change takes beside its key and value, at most
 
 
@@ -27,8 +28,9 @@
     """Times in seconds."""
 
     batch: float = 0.05  # changes that come within this go out together
-    again: float = 1.0  # a proposal that has not come about is made again
+    again: float = 1.0  # a proposal that has not come about is made again; each further pause doubles
     summary_fresh: float = 5.0  # a relay's summary counts so long
+    again_most: float = 16.0  # the longest pause: repeats of a large publication would fill the log before it stands
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +67,7 @@
         self._waiting_since = math.inf
         self._flying: Publication | None = None
         self._again_at = math.inf
+        self._repeats = 0  # of the publication on its way
         self._out: list[bytes] = []
         self._summaries: dict[str, tuple[float, Summary]] = {}
 
@@ -111,6 +114,7 @@
     def tick(self, now: float) -> None:
         """What is due by now."""
         if self._flying is not None and now >= self._again_at:
+            self._repeats += 1
             self._propose(now, self._flying)
         elif self._flying is None:
             self._propose_next(now)
@@ -166,7 +170,7 @@
         revision = self.log.revision + 1
         signature = self.signer.sign(signed_bytes(self.epoch, revision, content, digest))
         checkpoint = Checkpoint(self.epoch, revision, content, digest, signature)
-        self._flying = Publication(checkpoint, changes)
+        self._flying, self._repeats = Publication(checkpoint, changes), 0
         self._propose(now, self._flying)
 
     def _next_batch(self) -> tuple[Change, ...]:
@@ -181,7 +185,8 @@
         return tuple(changes)
 
     def _propose(self, now: float, publication: Publication) -> None:
-        self._again_at = now + self.tuning.again
+        pause = self.tuning.again * 2.0 ** min(self._repeats, MOST_DOUBLINGS)
+        self._again_at = now + min(pause, self.tuning.again_most)
         self.proposals += 1
         self._out += split(publication)
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -305,6 +305,18 @@
     assert control.machine.log.revision == 1
 
 
+def test_a_proposal_that_does_not_come_about_is_repeated_less_and_less_often():
+    control = Control(tuning=PublisherTuning(batch=0.0, again=1.0, again_most=8.0))
+    control.grant()
+    control.publisher.submit(0.0, [change("a", "1")])
+    control.publisher.tick(0.0)
+    repeated_at = []
+    for _ in range(6):
+        repeated_at.append(control.publisher.next_at)
+        control.publisher.tick(control.publisher.next_at)
+    assert repeated_at == [1.0, 3.0, 7.0, 15.0, 23.0, 31.0]
+
+
 def test_a_deposed_publisher_gives_back_what_it_did_not_publish():
     control = Control()
     control.grant()
