The feed in simulated time, an outside judge, its defects that must be found

Cause: the feed's cores were tested without a network, without crashes and with one log; what holds over all of them together was not shown.

Found by not settling alone: a publication signed on another base, which the machine refuses. A relay that lies about its age is believed: heartbeats are not signed, and the simulation leaves them alone.

--- /dev/null
+++ b/tests/feed_liar.py
@@ -0,0 +1,95 @@
+"""A relay that lies: what it makes of the frames that it should send.
+
+Heartbeats are left alone: nobody signs them, so that a relay that claims a false age is believed.
+"""
+
+import zlib
+
+from badgerbend.feed.framing import FrameReader, frame
+from badgerbend.feed.messages import (
+    Change,
+    Checkpoint,
+    Heartbeat,
+    Publication,
+    SnapshotBegin,
+    SnapshotPiece,
+    encode_changes,
+)
+
+KEPT = 40  # frames that it can replay
+LIES = ("alter", "forge", "cut", "replay", "replay snapshot", "withhold", "repeat piece", "forge content", "go back")
+
+
+class Liar:
+    """One lie, told to every follower it has."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.lie = rng.choice(LIES)
+        self.said = []  # publications, and whole snapshots, as they went out
+        self.snapshots = {}  # session: the frames of the snapshot on its way
+        self.whole = []
+
+    def told(self, data, session):
+        """What goes out in place of a frame."""
+        (message,) = FrameReader().feed(data)
+        if isinstance(message, Heartbeat):
+            return self._instead_of_heartbeat(data)
+        self._keep(data, message, session)
+        match self.lie, message:
+            case "alter", Publication() if message.changes:
+                return [frame(Publication(message.checkpoint, self._altered(message.changes)))]
+            case "alter", SnapshotPiece():
+                return [frame(SnapshotPiece(message.index, self._other_piece()))]
+            case "forge", Publication() | SnapshotBegin():
+                return [frame(self._forged(message))]
+            case "forge content", Publication():
+                return [frame(Publication(message.checkpoint, (*message.changes, Change("node/0", b"false"))))]
+            case "cut", _ if self.rng.random() < 0.3:
+                return [data[: self.rng.randrange(len(data))]]
+            case "withhold", Publication() if self.rng.random() < 0.5:
+                return []
+            case "withhold", SnapshotPiece() if self.rng.random() < 0.3:
+                return []
+            case "repeat piece", SnapshotPiece():
+                return [data, data]
+            case "replay", Publication() if self.said:
+                return [self.rng.choice(self.said), data]
+        return [data]
+
+    def _instead_of_heartbeat(self, data):
+        if self.lie in ("replay snapshot", "go back") and self.whole and self.rng.random() < 0.5:
+            return [*self.rng.choice(self.whole), data]
+        if self.lie == "replay" and self.said and self.rng.random() < 0.5:
+            return [self.rng.choice(self.said), data]
+        return [data]
+
+    def _keep(self, data, message, session):
+        if isinstance(message, Publication):
+            self.said = [*self.said[-KEPT:], data]
+        elif isinstance(message, SnapshotBegin):
+            self.snapshots[session] = (message.pieces, [data])
+        elif session in self.snapshots:
+            pieces, frames = self.snapshots[session]
+            frames.append(data)
+            if len(frames) == pieces + 1:
+                self.whole = [*self.whole[-3:], frames]
+
+    def _altered(self, changes):
+        place = self.rng.randrange(len(changes))
+        altered = Change(changes[place].key, b"altered")
+        return (*changes[:place], altered, *changes[place + 1 :])
+
+    def _other_piece(self):
+        return zlib.compress(encode_changes((Change("node/0", b"altered"),)))
+
+    def _forged(self, message):
+        """The liar's own checkpoint: the digests fit what it sends, the signature cannot."""
+        old = message.checkpoint
+        if isinstance(message, SnapshotBegin):
+            return SnapshotBegin(
+                Checkpoint(old.epoch, old.revision + 3, old.content, old.changes, old.signature), message.pieces
+            )
+        return Publication(
+            Checkpoint(old.epoch + 1, old.revision, old.content, old.changes, old.signature), message.changes
+        )
--- /dev/null
+++ b/tests/feed_mutants.py
@@ -0,0 +1,314 @@
+"""Defects of the feed that the judge must catch, each by its name: what `tests/simfeed.py` is worth."""
+
+from dataclasses import dataclass
+
+from badgerbend.duties.voter import Voter
+from badgerbend.feed.follower import Follower, Install
+from badgerbend.feed.follower import Phase as FollowerPhase
+from badgerbend.feed.machine import FeedMachine
+from badgerbend.feed.messages import Change, Checkpoint, Publication, decode_changes, signed_bytes
+from badgerbend.feed.publisher import Publisher
+from badgerbend.feed.relay import Relay
+from badgerbend.feed.snapshot import SnapshotAssembly, _unpacked
+from tests.simfeed import Chaos, Kinds
+
+# -- followers
+
+
+class AppliesBeforeTheDigests(Follower):
+    """Puts a signed publication's changes in force before it looks at their digests."""
+
+    def _published(self, publication):
+        if self._assembly is None and publication.checkpoint.revision == self.log.revision + 1:
+            self._verify(publication.checkpoint)
+            self._actions.append(Install(publication.checkpoint.revision, publication.changes))
+        super()._published(publication)
+
+
+class ChecksNoSignature(Follower):
+    def _verify(self, checkpoint):
+        pass
+
+
+class ChecksNoDigestOfASnapshot(Follower):
+    def _snapshot_piece(self, message):
+        assembly = self._assembly
+        if assembly is not None:
+            assembly.add(message)
+            if assembly.whole:
+                checkpoint, content = assembly.checkpoint, assembly.content
+                digest = content.digest()
+                assembly.checkpoint = Checkpoint(
+                    checkpoint.epoch, checkpoint.revision, digest, checkpoint.changes, checkpoint.signature
+                )
+                changes = self.log.content.changes_to(content)
+                self.log.reset(content, assembly.checkpoint)
+                self._assembly, self.phase = None, FollowerPhase.STREAMING
+                self._install(changes)
+
+
+class TakesAnOlderSnapshot(Follower):
+    def _replaces(self, checkpoint):
+        return True
+
+
+class TakesAnOlderPublication(Follower):
+    """Applies a replayed publication's changes once more."""
+
+    def _published(self, publication):
+        if self._assembly is None and publication.checkpoint.revision <= self.log.revision:
+            self._verify(publication.checkpoint)
+            self.log.content.apply(publication.changes)
+            self._install(publication.changes)
+            return
+        super()._published(publication)
+
+
+class KeepsHalfASnapshot(Follower):
+    """Goes on with a half-loaded snapshot's pieces under the next connection."""
+
+    def _wait(self, until):
+        half = self._assembly
+        super()._wait(until)
+        if half is not None and half._next:
+            self.log.content.apply([Change(key, value) for key, value in half.content.items()])
+
+
+class LoadsInPlace(Follower):
+    """Puts each piece of a snapshot in force as it comes."""
+
+    def _snapshot_piece(self, message):
+        if self._assembly is not None and message.index == self._assembly._next:
+            changes = decode_changes(_unpacked(message.packed))
+            self._actions.append(Install(self._assembly.checkpoint.revision, changes))
+        super()._snapshot_piece(message)
+
+
+class _UnorderedAssembly(SnapshotAssembly):
+    def add(self, piece):
+        self.content.apply(decode_changes(_unpacked(piece.packed)))
+        self._next += 1
+
+
+class ChecksNoOrderOfPieces(ChecksNoDigestOfASnapshot):
+    """Counts pieces only, and trusts that they are the signed ones."""
+
+    def _begin_snapshot(self, message):
+        super()._begin_snapshot(message)
+        self._assembly = _UnorderedAssembly(message)
+
+
+class InstallsNoRemovals(Follower):
+    def _install(self, changes):
+        super()._install(tuple(change for change in changes if change.value is not None))
+
+
+class TakesAgeOfARelayBehind(Follower):
+    """Counts the age of a relay that announces a newer revision, or holds an older one."""
+
+    def _heartbeat(self, now, message):
+        self._as_of = max(self._as_of, now - message.age_ms / 1000.0)
+        super()._heartbeat(now, message)
+
+
+class LooksNotAtItself(Follower):
+    """Says of its replica what the checkpoint says, and not what it is."""
+
+    def connected(self, now, attempt):
+        damaged, self._damaged = self._damaged, False
+        content, self.log.content = self.log.content, _SaysItIsWhole(self.log)
+        super().connected(now, attempt)
+        self.log.content, self._damaged = content, damaged
+
+
+class _SaysItIsWhole:
+    def __init__(self, log):
+        self.checkpoint = log.checkpoint
+
+    def digest(self):
+        return self.checkpoint.content
+
+
+class ForgetsTheFirstOfTwo(Follower):
+    """Installs a batch without what came after its first change of a key."""
+
+    def _install(self, changes):
+        first = {}
+        for change in changes:
+            first.setdefault(change.key, change)
+        super()._install(tuple(first.values()))
+
+
+# -- relays
+
+
+class SkipsOnCatchUp(Relay):
+    """A follower that is more than one behind does not get the first that it lacks."""
+
+    def _stream(self, now, number, session):
+        if self.log.oldest <= session.position < self.log.revision - 1:
+            session.position += 1
+        super()._stream(now, number, session)
+
+
+class GoesOnAfterCompaction(Relay):
+    """Sends the oldest publication retained to one who is behind it, in place of a snapshot."""
+
+    def _stream(self, now, number, session):
+        if session.position < self.log.oldest:
+            session.position, session.digest = self.log.oldest, None
+        super()._stream(now, number, session)
+
+
+class ComparesNoDigests(Relay):
+    def _same_past(self, session):
+        session.digest = None
+        return True
+
+
+class AgeOfItsOwn(Relay):
+    """Says that it is up to date whatever was confirmed."""
+
+    def age_s(self, now):
+        return 0.0
+
+
+class SendsPastTheWindow(Relay):
+    def _send(self, now, number, session, data):
+        super()._send(now, number, session, data)
+        session.in_flight = 0
+
+
+class BeginsEverySnapshot(Relay):
+    def _load(self, now):
+        while self._queue:
+            self._begin_snapshot(now, self._queue.popleft())
+        super()._load(now)
+
+
+# -- voters
+
+
+class ChecksNoEpoch(FeedMachine):
+    def publishes(self, epoch):
+        return True
+
+
+class TakesARevisionAgain(FeedMachine):
+    """Publishes a repeated revision once more, as the next."""
+
+    def _publish(self, part, data):
+        before = self.log.revision
+        super()._publish(part, data)
+        if self.log.revision == before and self._pending_of[1] == before:
+            publication = self.log._retained[-1] if self.log._retained else None
+            if publication is not None:
+                checkpoint = self.log.checkpoint
+                self.log.checkpoint = Checkpoint(
+                    checkpoint.epoch,
+                    checkpoint.revision + 1,
+                    checkpoint.content,
+                    checkpoint.changes,
+                    checkpoint.signature,
+                )
+                self.log._retain(Publication(self.log.checkpoint, ()))
+                self.on_change()
+
+
+class ConfirmsWithoutTheLog(Voter):
+    """Counts any word of its leader, also while it lacks what the leader had committed."""
+
+    def _heard_leader(self, now, message):
+        self.confirmed_at = max(self.confirmed_at, now)
+
+
+class ConfirmsByANewLeader(Voter):
+    """Counts the word of a leader that has committed nothing of its own term."""
+
+    def _heard_leader(self, now, message):
+        if self.raft.leader == message.source and self.raft.applied >= message.commit:
+            self.confirmed_at = max(self.confirmed_at, now)
+
+
+class ConfirmsAlways(Voter):
+    """Takes itself for confirmed as long as it runs."""
+
+    def tick(self, now):
+        super().tick(now)
+        self.confirmed_at = now
+
+
+# -- publishers
+
+
+class SignsOnAnotherBase(Publisher):
+    """Signs what a batch leads to from an empty content."""
+
+    def _propose_next(self, now):
+        before = self._flying
+        super()._propose_next(now)
+        flying = self._flying
+        if flying is not None and flying is not before and self.log.revision % 5 == 4:
+            old = flying.checkpoint
+            content = type(self.log.content)().digest_after(flying.changes)
+            signature = self.signer.sign(signed_bytes(old.epoch, old.revision, content, old.changes))
+            self._flying = Publication(
+                Checkpoint(old.epoch, old.revision, content, old.changes, signature), flying.changes
+            )
+            self._out.clear()
+            self._propose(now, self._flying)
+
+
+class TakesAnyGrowthForItsOwn(Publisher):
+    """Drops a batch when the log has reached its revision, whosever publication that is."""
+
+    def published(self, now):
+        if self._flying is not None and self.log.revision >= self._flying.checkpoint.revision:
+            self._flying, self._again_at = None, float("inf")
+            self._propose_next(now)
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """A defect: classes in the place of the product's, the chaos in which it shows, and a seed that shows it."""
+
+    kinds: Kinds
+    seed: int = 0
+    chaos: Chaos = Chaos()
+
+
+LIES = Chaos(troubles=("lie", "lie", "lie", "break", "break", "zone back"), every_s=0.7)
+CUTS = Chaos(troubles=("cut region", "cut control", "burst"), every_s=2.0, cut_s=(20.0,))
+ZONES = Chaos(troubles=("zone back", "break"), every_s=1.0)
+DAMAGE = Chaos(troubles=("damage", "damage", "break", "burst"), every_s=0.8)
+STOPS = Chaos(troubles=("stop followers", "burst", "break"), every_s=0.4)
+LEASES = Chaos(troubles=("give back", "cede", "crash leader", "stop relay", "burst"), late=0.2, late_s=3.0, every_s=0.6)
+
+STALLS = Chaos(troubles=("stop relay", "stop relay", "cut control"), late=0.3, late_s=2.0, every_s=0.2, stop_s=0.9)
+
+MUTANTS = {
+    "changes in force before their digest is checked": Mutant(Kinds(follower=AppliesBeforeTheDigests), 1, LIES),
+    "a signature not checked": Mutant(Kinds(follower=ChecksNoSignature), 1, LIES),
+    "a snapshot's digest not checked": Mutant(Kinds(follower=ChecksNoDigestOfASnapshot), 0, LIES),
+    "an older snapshot taken": Mutant(Kinds(follower=TakesAnOlderSnapshot), 1, LIES),
+    "an older publication taken": Mutant(Kinds(follower=TakesAnOlderPublication), 1, LIES),
+    "half a snapshot kept": Mutant(Kinds(follower=KeepsHalfASnapshot), 0, ZONES),
+    "a snapshot put in force piece by piece": Mutant(Kinds(follower=LoadsInPlace), 0, ZONES),
+    "the order of pieces not checked": Mutant(Kinds(follower=ChecksNoOrderOfPieces), 0, LIES),
+    "removals not installed": Mutant(Kinds(follower=InstallsNoRemovals)),
+    "the age of a relay behind": Mutant(Kinds(follower=TakesAgeOfARelayBehind), 0, CUTS),
+    "the first of two changes of a key": Mutant(Kinds(follower=ForgetsTheFirstOfTwo)),
+    "a publication skipped on catch-up": Mutant(Kinds(relay=SkipsOnCatchUp)),
+    "the wrong place after compaction": Mutant(Kinds(relay=GoesOnAfterCompaction), 1, STOPS),
+    "digests not compared on resumption": Mutant(Kinds(relay=ComparesNoDigests, follower=LooksNotAtItself), 0, DAMAGE),
+    "an age whatever was confirmed": Mutant(Kinds(relay=AgeOfItsOwn), 0, CUTS),
+    "a window not kept": Mutant(Kinds(relay=SendsPastTheWindow), 0, STOPS),
+    "snapshots without number": Mutant(Kinds(relay=BeginsEverySnapshot), 0, ZONES),
+    "an epoch not checked": Mutant(Kinds(machine=ChecksNoEpoch), 4, LEASES),
+    "a repeated revision taken": Mutant(Kinds(machine=TakesARevisionAgain), 0, LEASES),
+    "confirmed without the log": Mutant(Kinds(voter=ConfirmsWithoutTheLog), 0, LEASES),
+    "confirmed by a leader that knows less": Mutant(Kinds(voter=ConfirmsByANewLeader), 19),
+    "confirmed though cut off": Mutant(Kinds(voter=ConfirmsAlways), 0, CUTS),
+    "signed on another base": Mutant(Kinds(publisher=SignsOnAnotherBase)),
+    "any growth taken for its own": Mutant(Kinds(publisher=TakesAnyGrowthForItsOwn), 0, STALLS),
+}
