--- a/badgerbend/feed/content.py
+++ b/badgerbend/feed/content.py
@@ -26,15 +26,21 @@
 EMPTY_BUCKET = hashed(b"")
 
 
+def _size_of(key: str, value: bytes | None) -> int:
+    """Bytes of an entry, none where there is none."""
+    return 0 if value is None else len(key.encode()) + len(value)
+
+
 class Content:
     """Keys and values by bucket. Changes are applied in place; `apply` gives back what undoes them."""
 
-    __slots__ = ("_buckets", "_digests", "_stale")
+    __slots__ = ("_buckets", "_digests", "_stale", "size")
 
     def __init__(self) -> None:
         self._buckets: list[dict[str, bytes]] = [{} for _ in range(BUCKETS)]
         self._digests = [EMPTY_BUCKET] * BUCKETS
         self._stale = set[int]()  # buckets whose digest is to be made anew
+        self.size = 0  # bytes of all keys and values
 
     def __len__(self) -> int:
         return sum(map(len, self._buckets))
@@ -53,11 +59,13 @@
         for change in changes:
             place = bucket_of(change.key)
             bucket = self._buckets[place]
-            undo.append(Change(change.key, bucket.get(change.key)))
+            replaced = bucket.get(change.key)
+            undo.append(Change(change.key, replaced))
             if change.value is None:
                 bucket.pop(change.key, None)
             else:
                 bucket[change.key] = change.value
+            self.size += _size_of(change.key, change.value) - _size_of(change.key, replaced)
             self._stale.add(place)
         undo.reverse()
         return tuple(undo)
@@ -82,6 +90,7 @@
         other._buckets = [dict(bucket) for bucket in self._buckets]
         other._digests = list(self._digests)
         other._stale = set(self._stale)
+        other.size = self.size
         return other
 
     def changes_to(self, other: Content) -> tuple[Change, ...]:
--- a/badgerbend/feed/follower.py
+++ b/badgerbend/feed/follower.py
@@ -55,6 +55,8 @@
     silence: float = 4.0  # without a word from the relay, beside four heartbeats
     distrust: float = 60.0  # a relay that sent what cannot be used is left out so long
     behind_most: float = 30.0  # a relay may announce a revision so long before it sends something towards it
+    stale: float = 5.0  # a relay that knows nothing so recent is left for another
+    stale_again: float = 30.0  # and tried again after so long
     home_after: float = 120.0  # connected to another region, it tries its own again after this
     status_every: float = 1.0  # at most so often is a changed status sent
     status_idle: float = 10.0  # and so often at least
@@ -132,7 +134,7 @@
         self.refused_reason = ""
         self._random = random.Random(seed)
         self._relays = self._preferred(relays)
-        self._distrusted: dict[str, float] = {}  # by relay, until when
+        self._avoided: dict[str, float] = {}  # relays that are distrusted or stale, and until when
         self._failures = 0
         self._damaged = False  # its own replica is not what the publisher signed
         self._assembly: SnapshotAssembly | None = None
@@ -161,8 +163,9 @@
         self.phase = Phase.STREAMING
         self._heard(now)
         self._home_at = now + self.tuning.home_after if self._abroad() else math.inf
-        hello = Hello(self.name, self.log.epoch, self.log.revision, self.log.content.digest(), self._damaged)
-        self._send(hello)
+        digest = self.log.content.digest()
+        self._damaged = self._damaged or digest != self.log.checkpoint.content
+        self._send(Hello(self.name, self.log.epoch, self.log.revision, digest, self._damaged))
         self._status_at = now
 
     def closed(self, now: float, attempt: int) -> None:
@@ -174,6 +177,9 @@
         """A message of the relay."""
         if attempt != self.attempt or self.phase not in (Phase.STREAMING, Phase.LOADING):
             return
+        if now >= self._deadline:  # this process stood still: how long ago a heartbeat was written, nobody knows
+            self._due(now)
+            return
         self._heard(now)
         try:
             match message:
@@ -195,8 +201,9 @@
         if attempt != self.attempt or self.relay is None:
             return
         self._actions.append(Rejected(self.relay.name, error))
-        if not isinstance(error, DigestMismatch):  # that one is the replica's own fault
-            self._distrusted[self.relay.name] = now + self.tuning.distrust
+        own_fault = isinstance(error, DigestMismatch) and self._assembly is None  # the replica's, no snapshot's
+        if not own_fault:
+            self._avoided[self.relay.name] = now + self.tuning.distrust
         self._drop_connection()
         self._retry(now)
 
@@ -235,7 +242,11 @@
         return min(self._deadline, self._home_at, self._status_at)
 
     def age_s(self, now: float) -> float:
-        """How old the replica may be: so long ago nothing newer had been agreed on. Infinite before the first word."""
+        """How old the replica may be: so long ago nothing newer had been agreed on. Infinite before the first word.
+
+        Too low by as long as the last heartbeat was on its way: over a connection that takes a relay's window in less
+        than `silence`, no longer than that and one heartbeat.
+        """
         return max(now - self._as_of, 0.0)
 
     def take(self) -> list[Action]:
@@ -283,10 +294,13 @@
 
     def _next_relay(self, now: float) -> RelayAddress:
         """Round robin from the preferred one on; distrusted ones are left out while there are others."""
-        usable = [relay for relay in self._relays if self._distrusted.get(relay.name, -math.inf) <= now]
+        usable = [relay for relay in self._relays if self._usable(relay, now)]
         candidates = usable or self._relays
         return candidates[self._failures % len(candidates)]
 
+    def _usable(self, relay: RelayAddress, now: float) -> bool:
+        return self._avoided.get(relay.name, -math.inf) <= now
+
     def _drop_connection(self) -> None:
         if self.phase in (Phase.CONNECTING, Phase.STREAMING, Phase.LOADING):
             self._actions.append(Disconnect(self.attempt))
@@ -301,6 +315,8 @@
     # -- what relays say
     def _heartbeat(self, now: float, message: Heartbeat) -> None:
         """Its age counts only for a replica that holds what the relay holds."""
+        if not message.waiting and message.age_ms > self.tuning.stale * 1000.0 and self._leave_stale(now):
+            return
         if self.log.revision >= message.revision:
             self._failures = 0
             self._behind_since = math.inf
@@ -311,6 +327,17 @@
         if now - self._behind_since > self.tuning.behind_most:
             raise NoProgress(f"revision {message.revision} announced, {self.log.revision} sent")
 
+    def _leave_stale(self, now: float) -> bool:
+        """Leaves a relay that is cut off from the agreed log, if another may be tried; whether it did."""
+        assert self.relay is not None
+        others = [relay for relay in self._relays if relay != self.relay and self._usable(relay, now)]
+        if not others:
+            return False
+        self._avoided[self.relay.name] = now + self.tuning.stale_again * self._random.uniform(0.5, 1.0)
+        self._drop_connection()
+        self._retry(now)
+        return True
+
     def _published(self, publication: Publication) -> None:
         if self._assembly is not None:
             raise OutOfSequence("a publication amid a snapshot")
@@ -332,6 +359,7 @@
         if checkpoint.epoch < self.log.epoch:
             raise OldEpoch(f"a snapshot of epoch {checkpoint.epoch} after {self.log.epoch}")
         self._assembly, self.phase = SnapshotAssembly(message), Phase.LOADING
+        self._take_whole_snapshot()  # of an empty content no piece follows
 
     def _replaces(self, checkpoint: Checkpoint) -> bool:
         """Whether a snapshot may take the replica's place: its revision never goes back."""
@@ -340,12 +368,16 @@
         return checkpoint.revision > self.log.revision
 
     def _snapshot_piece(self, message: SnapshotPiece) -> None:
-        assembly = self._assembly
-        if assembly is None:
+        if self._assembly is None:
             raise OutOfSequence("a piece of no snapshot")
-        assembly.add(message)
+        self._assembly.add(message)
         self._behind_since = math.inf
-        if not assembly.whole:
+        self._take_whole_snapshot()
+
+    def _take_whole_snapshot(self) -> None:
+        """Puts the snapshot in the replica's place once all of it is there."""
+        assembly = self._assembly
+        if assembly is None or not assembly.whole:
             return
         changes = self.log.content.changes_to(assembly.content)
         self.log.reset(assembly.content, assembly.checkpoint)
--- a/badgerbend/feed/log.py
+++ b/badgerbend/feed/log.py
@@ -37,10 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Retained:
-    """A publication as it goes to followers, encoded once for all of them."""
+    """A publication as it goes to followers, encoded once for all of them. ends_at: bytes of all frames so far."""
 
     checkpoint: Checkpoint
     frame: bytes
+    ends_at: int
 
 
 def changes_digest(changes: tuple[Change, ...]) -> bytes:
@@ -56,7 +57,8 @@
         self.content = Content()
         self.checkpoint = ORIGIN
         self._retained: deque[Retained] = deque()
-        self._bytes = 0
+        self._bytes = 0  # of the frames retained
+        self._bytes_ever = 0  # of all frames so far
         self._before = ORIGIN  # the checkpoint before the oldest publication retained
 
     @property
@@ -101,20 +103,34 @@
         at = revision - self.oldest
         return self._retained[at] if at < len(self._retained) else None
 
-    def digest_at(self, revision: int) -> bytes | None:
-        """The content's digest at a revision that is retained, None for others."""
+    def bytes_after(self, revision: int) -> int:
+        """Bytes of the publications that follow this revision, which is `oldest` or later."""
+        at = revision - self.oldest
+        if at >= len(self._retained):
+            return 0
+        following = self._retained[at]
+        return self._bytes_ever - following.ends_at + len(following.frame)
+
+    def checkpoint_at(self, revision: int) -> Checkpoint | None:
+        """The checkpoint of a revision that is retained, None for others."""
         if revision == self.oldest:
-            return self._before.content
+            return self._before
         at = revision - self.oldest - 1
-        return self._retained[at].checkpoint.content if 0 <= at < len(self._retained) else None
+        return self._retained[at].checkpoint if 0 <= at < len(self._retained) else None
+
+    def digest_at(self, revision: int) -> bytes | None:
+        """The content's digest at a revision that is retained, None for others."""
+        checkpoint = self.checkpoint_at(revision)
+        return None if checkpoint is None else checkpoint.content
 
     def _retain(self, publication: Publication) -> None:
         if not self.retention.publications:
             self._before = publication.checkpoint
             return
-        retained = Retained(publication.checkpoint, frame(publication))
-        self._retained.append(retained)
-        self._bytes += len(retained.frame)
+        data = frame(publication)
+        self._bytes += len(data)
+        self._bytes_ever += len(data)
+        self._retained.append(Retained(publication.checkpoint, data, self._bytes_ever))
         while len(self._retained) > self.retention.publications or self._bytes > self.retention.bytes:
             dropped = self._retained.popleft()
             self._bytes -= len(dropped.frame)
--- a/badgerbend/feed/messages.py
+++ b/badgerbend/feed/messages.py
@@ -64,11 +64,13 @@
 
 
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag=2):
-    """The relay lives. revision: what it holds; age_ms: since it last knew that nothing newer was agreed on."""
+    """The relay lives. revision: what it holds; age_ms: since it last knew that nothing newer was agreed on. To a
+    follower that waits for its snapshot it announces no more than that holds, of unknown age."""
 
     epoch: Number
     revision: Number
     age_ms: Milliseconds
+    waiting: bool = False
 
 
 class SnapshotBegin(msgspec.Struct, array_like=True, frozen=True, tag=3):
--- a/badgerbend/feednet/follower.py
+++ b/badgerbend/feednet/follower.py
@@ -17,7 +17,7 @@
 
     def install(self, revision: int, changes: tuple[Change, ...]) -> str:
         """Puts changes in force; why the newest configuration of the feed is not in force, or nothing. One that cannot
-        be used leaves what was in force as it is."""
+        be used leaves what was in force as it is. An exception ends the follower, and is raised in the loop."""
         ...
 
     def rejected(self, relay: str, error: FeedError) -> None:
@@ -87,12 +87,24 @@
         if self._pumping:
             return
         self._pumping = True
-        while actions := self.follower.take():
-            for action in actions:
-                self._carry_out(action)
-        self._pumping = False
+        try:
+            while actions := self.follower.take():
+                for action in actions:
+                    self._carry_out(action)
+        except Exception:
+            self._fail()
+            raise
+        finally:
+            self._pumping = False
         self._wake_up.set(self.follower.next_at)
 
+    def _fail(self) -> None:
+        """Its owner failed amid an install: what is in force is not known, so nothing more is reported or taken."""
+        self.follower.stop()
+        self.follower.take()
+        self._disconnect()
+        self._wake_up.cancel()
+
     def _carry_out(self, action: Action) -> None:
         match action:
             case Connect():
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,9 +1,15 @@
 """The feed's pure cores: what is published, what a follower takes and refuses, what a relay holds back."""
 
+import math
 import zlib
 
 import pytest
 
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus.log import Kept, Log
+from badgerbend.consensus.raft import Tuning
+from badgerbend.duties.holder import Terms
+from badgerbend.duties.voter import Voter
 from badgerbend.feed.commands import split
 from badgerbend.feed.configuration import ConfigurationInForce, UnusableConfiguration
 from badgerbend.feed.content import Content
@@ -28,6 +34,7 @@
     Publication,
     SnapshotBegin,
     SnapshotPiece,
+    encode_changes,
     signed_bytes,
 )
 from badgerbend.feed.publisher import PublisherTuning
@@ -245,6 +252,21 @@
 # -- the publisher
 
 
+def test_changes_whose_revision_another_publication_took_go_out_again():
+    control = Control()
+    epoch = control.grant()
+    earlier = signed(control.machine.log, epoch, change("a", "proposed before the lease was lost and found again"))
+    assert control.publisher.submit(0.0, [change("b", "accepted after")]) == ()
+    control.publisher.tick(0.0)
+    control.publisher.take()
+    for command in split(earlier):  # the earlier proposal was late, and is the first to arrive
+        control.command(command)
+    control.publisher.published(0.0)
+    control.pump(0.0)
+    assert control.machine.log.revision == 2
+    assert entries(control.machine.log) == {"a": earlier.changes[0].value, "b": b"accepted after"}
+
+
 def test_a_bad_change_is_refused_with_its_whole_batch():
     control = Control(check=lambda change: "line 3: field `wait` is no number" if change.value == b"bad" else "")
     control.grant()
@@ -283,6 +305,18 @@
     assert control.machine.log.revision == 1
 
 
+def test_a_proposal_that_does_not_come_about_is_repeated_less_and_less_often():
+    control = Control(tuning=PublisherTuning(batch=0.0, again=1.0, again_most=8.0))
+    control.grant()
+    control.publisher.submit(0.0, [change("a", "1")])
+    control.publisher.tick(0.0)
+    repeated_at = []
+    for _ in range(6):
+        repeated_at.append(control.publisher.next_at)
+        control.publisher.tick(control.publisher.next_at)
+    assert repeated_at == [1.0, 3.0, 7.0, 15.0, 23.0, 31.0]
+
+
 def test_a_deposed_publisher_gives_back_what_it_did_not_publish():
     control = Control()
     control.grant()
@@ -343,6 +377,16 @@
     assert made.installed["a"][-1].changes == (change("configuration/a", "49"),)
 
 
+def test_a_snapshot_of_nothing_is_whole_at_once():
+    made = stage()
+    made.publish(change("a", "1"))
+    made.publish(change("a", None))
+    follower = made.follower("late")
+    assert follower.log.checkpoint == made.relay.log.checkpoint and made.relay.snapshots_begun == 1
+    made.publish(change("b", "1"))
+    assert entries(follower.log) == {"b": b"1"} and made.rejected["late"] == []
+
+
 def test_a_drain_wins_over_a_snapshot_of_earlier_content():
     made = full_stage(retention=Retention(publications=100), window=60_000)
     made.hold.add("a")
@@ -422,6 +466,65 @@
     assert made.relay.snapshots_begun == 1
 
 
+def test_a_replica_that_was_damaged_is_replaced_on_resumption_though_nothing_new_is_published():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("node/1", "ready"), change("node/2", "ready"))
+    made.disconnect("a")
+    follower.log.content.apply([change("node/1", "flipped")])
+    made.pass_time(2.0)
+    assert entries(follower.log) == {"node/1": b"ready", "node/2": b"ready"}
+    assert made.rejected["a"] == [] and made.relay.snapshots_begun == 1
+
+
+def test_an_image_older_than_a_followers_replica_is_not_sent_to_it():
+    made = full_stage(retention=Retention(publications=3))
+    made.publish(change("node/1", "one"))
+    made.publish(change("node/1", "two"))
+    follower = made.follower("a")  # with an image of this revision
+    made.publish(change("node/1", "three"))
+    made.disconnect("a")
+    follower.log.content.apply([change("node/2", "flipped")])
+    made.pass_time(2.0)
+    assert made.rejected["a"] == [] and made.relay.snapshots_begun == 2
+    assert follower.log.content.digest() == made.relay.log.content.digest()
+
+
+def test_a_damaged_replica_ahead_of_its_relay_waits_for_a_later_revision():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("a", "1"))
+    made.publish(change("a", "2"))
+    made.disconnect("a")
+    follower.log.content.apply([change("a", "flipped")])
+    newest, made.relay.log = made.relay.log, PublicationLog(Retention())
+    made.pass_time(2.0)
+    assert made.rejected["a"] == [] and follower.log.revision == 2
+    made.relay.log = newest
+    made.publish(change("b", "3"))
+    assert entries(follower.log) == {"a": b"2", "b": b"3"}
+
+
+def test_a_relay_whose_snapshot_is_not_the_signed_one_is_left_for_a_while():
+    made = stage()
+    made.publish(change("a", "1"))
+    relays = [ADDRESS, RelayAddress("relay-2", "north", "127.0.0.1", 2)]
+    follower = Follower("a", "north", relays, VERIFIER, FollowerTuning(start_spread=0.0), 1)
+    follower.start(0.0)
+    follower.tick(0.0)
+    (first,) = follower.take()
+    follower.connected(0.0, first.attempt)
+    altered = zlib.compress(encode_changes((change("a", "2"),)))
+    follower.received(0.0, first.attempt, SnapshotBegin(made.relay.log.checkpoint, 1))
+    follower.received(0.0, first.attempt, SnapshotPiece(0, altered))
+    assert follower.log.revision == 0
+    for second in range(1, 50):
+        follower.take()
+        follower.tick(float(second))
+        assert all(a.relay != first.relay for a in follower.take() if isinstance(a, Connect))
+        follower.closed(float(second), follower.attempt)
+
+
 def test_a_revision_that_goes_back_is_not_followed():
     made = stage()
     follower = made.follower("a")
@@ -455,6 +558,19 @@
     assert [type(error) for error in made.rejected["a"]] == [OutOfSequence]
 
 
+def test_a_follower_that_stood_still_does_not_believe_the_heartbeats_that_waited():
+    made = stage()
+    follower = made.follower("a")
+    made.publish(change("a", "1"))
+    made.pass_time(1.0)
+    late = made.now + follower.tuning.silence + 1.0
+    age_s = follower.age_s(late)
+    checkpoint = follower.log.checkpoint
+    follower.received(late, follower.attempt, Heartbeat(checkpoint.epoch, checkpoint.revision, 0))
+    assert follower.age_s(late) == age_s
+    assert [type(action) for action in follower.take()] == [Disconnect]
+
+
 def test_a_relay_that_announces_and_does_not_send_is_left():
     made = stage()
     follower = made.follower("a", behind_most=5.0)
@@ -503,6 +619,35 @@
     assert made.followers["slow"].log.checkpoint == made.relay.log.checkpoint
 
 
+def test_a_follower_that_falls_behind_the_compaction_with_a_full_window_is_sent_nothing_more():
+    made = stage()
+    made.control.machine.log.retention = Retention(publications=4)
+    made.follower("a")
+    before = made.sent_bytes["a"]
+    made.publish(change("node/1", "x" * 1000))
+    size = made.sent_bytes["a"] - before
+    made.relay.tuning = RelayTuning(window=2 * size + 1)  # the third frame of this size is the last that fits
+    made.sent_bytes.clear()
+    made.hold.add("a")
+    for value in range(10):
+        made.publish(change("node/1", "x" * 999 + str(value)))
+    assert made.sent_bytes["a"] == 3 * size
+    made.release("a")
+    made.pass_time(1.0)
+    assert made.followers["a"].log.checkpoint == made.relay.log.checkpoint
+    assert made.relay.snapshots_begun == 1
+
+
+def test_snapshots_that_end_together_behind_the_compaction_begin_anew():
+    made = full_stage(retention=Retention(publications=1), snapshot_burst=100, snapshot_bytes_per_second=100)
+    followers = [made.follower(name) for name in ("a", "b")]
+    for value in range(3):
+        made.publish(change("node/1", str(value)))
+    made.relay.tuning = RelayTuning()  # now all of both may go out in one turn
+    made.pass_time(1.0)
+    assert all(f.log.checkpoint == made.relay.log.checkpoint for f in followers)
+
+
 def test_a_follower_that_is_slow_gets_all_in_order():
     made = stage(window=2_000)
     slow = made.follower("slow")
@@ -567,6 +712,49 @@
     assert ("nobody", "no hello") in made.closed
 
 
+# -- a voter with the feed's machine
+
+
+def voter_of(*names):
+    kept = Kept(log=Log(voting.Snapshot(0, 0, names, b"")))
+    return Voter("a", kept, Tuning(), Terms(), 1, 0.0, FeedMachine(DEFAULT_RETENTION))
+
+
+def heard(term, leader, previous, commit, *entries):
+    """A leader's message; previous: index and term of the entry before these."""
+    return voting.Feed(term, leader, *previous, entries, commit, 1)
+
+
+def test_a_voter_that_follows_is_confirmed_by_a_leader_that_knows_what_was_agreed_on():
+    voter = voter_of("a", "b", "c")
+    voter.from_voter(1.0, heard(1, "b", (0, 0), 0, voting.Entry(1, 1, voting.Kind.NOOP)))
+    assert voter.confirmed_at == -math.inf  # nothing of its term is committed
+    voter.from_voter(2.0, heard(1, "b", (1, 1), 1))
+    assert voter.confirmed_at == 2.0
+    voter.from_voter(3.0, heard(2, "c", (1, 1), 1, voting.Entry(2, 2, voting.Kind.NOOP)))
+    assert voter.confirmed_at == 2.0  # a new leader, that may not know yet what the last one committed
+    voter.from_voter(4.0, heard(2, "c", (2, 2), 3))
+    assert voter.confirmed_at == 2.0  # the leader has committed what this voter lacks
+    voter.from_voter(5.0, heard(2, "c", (2, 2), 2))
+    assert voter.confirmed_at == 5.0
+    voter.from_voter(6.0, heard(1, "b", (1, 1), 1))
+    assert voter.confirmed_at == 5.0  # a leader of the past
+
+
+def test_a_voter_that_leads_is_confirmed_as_of_when_it_asked():
+    voter = voter_of("a")
+    now = 0.0
+    while not voter.leads:
+        now = voter.next_at
+        voter.tick(now)
+        for number, _ in voter.take().writes:
+            voter.saved(now, number)
+    assert voter.confirmed_at == -math.inf
+    voter.confirm(now + 1.0)
+    voter.tick(now + 2.0)
+    assert voter.confirmed_at == now + 1.0
+
+
 # -- summaries
 
 
@@ -661,3 +849,56 @@
     last = pauses[11::12]
     assert max(last) <= 10.0 and max(last) > 8.0 and min(last) < 2.0
     assert max(pauses[0::12]) <= 0.1
+
+
+def test_a_relay_that_is_cut_off_is_left_for_another_and_kept_where_there_is_none():
+    relays = [RelayAddress(f"r{n}", "north", "127.0.0.1", n) for n in (1, 2)]
+    tuning = FollowerTuning(start_spread=0.0, stale=5.0, stale_again=30.0)
+    follower = Follower("a", "north", relays, VERIFIER, tuning, 1)
+
+    def connect(now):
+        follower.tick(now)
+        (action,) = [action for action in follower.take() if isinstance(action, Connect)]
+        follower.connected(now, action.attempt)
+        follower.take()
+        return action
+
+    follower.start(0.0)
+    first = connect(0.0)
+    follower.received(1.0, first.attempt, Heartbeat(0, 0, 4_000))
+    assert follower.take() == []
+    follower.received(2.0, first.attempt, Heartbeat(0, 0, 9_000, waiting=True))  # it waits for its snapshot
+    assert follower.take() == []
+    follower.received(3.0, first.attempt, Heartbeat(0, 0, 9_000))
+    assert follower.take() == [Disconnect(first.attempt)]
+    second = connect(4.0)
+    assert second.relay != first.relay
+    follower.received(5.0, second.attempt, Heartbeat(0, 0, 9_000))  # both are cut off: it stays with one
+    assert [action for action in follower.take() if isinstance(action, Disconnect)] == []
+    for second_ in range(6, 36):
+        follower.received(float(second_), second.attempt, Heartbeat(0, 0, 9_000))
+    assert Disconnect(second.attempt) in follower.take()  # the first may be back by now
+
+
+def test_a_follower_behind_by_more_than_the_content_is_loaded_at_the_pace_of_snapshots():
+    made = stage(window=1_000)
+    made.follower("a")
+    made.publish(change("a", "x" * 900))
+    made.disconnect("a")
+    for value in range(5):
+        made.publish(change("a", str(value) * 900))
+    made.pass_time(1.0)
+    assert made.relay.snapshots_begun == 1 and len(made.installed["a"]) == 2
+    assert made.followers["a"].log.checkpoint == made.relay.log.checkpoint
+
+
+def test_bytes_of_a_log_are_those_of_its_frames():
+    log = PublicationLog(Retention(publications=5))
+    for value in range(9):
+        log.append(signed(log, 1, change("a", str(value) * value)))
+    frames = {revision: len(log.next_after(revision).frame) for revision in range(4, 9)}
+    assert [log.bytes_after(r) for r in range(4, 10)] == [
+        sum(n for at, n in frames.items() if at >= r) for r in range(4, 10)
+    ]
+    log.content.apply([change("b", "1234"), change("b", "12"), change("c", None)])
+    assert log.content.size == sum(len(key) + len(value) for key, value in log.content.items())
--- a/tests/test_feed_sockets.py
+++ b/tests/test_feed_sockets.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from badgerbend.feed.follower import Follower, FollowerTuning, RelayAddress
+from badgerbend.feed.follower import Follower, FollowerTuning, Phase, RelayAddress
 from badgerbend.feed.log import Retention
 from badgerbend.feed.relay import Relay, RelayTuning
 from badgerbend.feednet.follower import FollowerClient
@@ -141,3 +141,21 @@
                     await asyncio.sleep(0.05)
 
     asyncio.run(scene())
+
+
+def test_an_owner_that_fails_ends_its_follower_and_the_failure_is_told():
+    async def scene():
+        told = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: told.append(context["exception"]))
+        async with Fleet() as fleet:
+            client, owner = fleet.follower("f")
+            owner.unusable = lambda changes: 1 // 0
+            fleet.publish(change("a", "1"))
+            await owner.reaches(1)
+            async with asyncio.timeout(LONGEST_S):
+                while fleet.relay.sessions:
+                    await asyncio.sleep(0.01)
+            assert [type(error) for error in told] == [ZeroDivisionError]
+            assert client.follower.in_force == 0 and client.follower.phase is Phase.STOPPED
+
+    asyncio.run(scene())
