Settings: an optional form (feed ...) names the publisher, the region and the relays

A broker is to follow the feed of changes; its settings had no place to say where it comes from. The form holds the publisher's public key file, the broker's region, the relays and the key of its configuration. Absent, none is followed. Measured: tests/test_settings.py passes, with 8 new cases of errors by line and field.

--- a/badgerbend/config/settings.py
+++ b/badgerbend/config/settings.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from badgerbend.config.feed import Feed
 from badgerbend.config.fleet import Duties, Peers, Sites
 from badgerbend.config.kinds import Count, CountOrNone, Name, NotNegative, Port, Positive, Share, ShareOrNone
 
@@ -189,6 +190,7 @@
     snapshot: Snapshot | None = None
     sites: Sites | None = None
     duties: Duties | None = None
+    feed: Feed | None = None
     max_open: Count = 20_000
     over_share_worth: NotNegative = 0.1
     seed: CountOrNone = 1
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -46,7 +46,7 @@
     "feed/commands.py", "feed/configuration.py", "feed/content.py", "feed/errors.py", "feed/follower.py",
     "feed/framing.py", "feed/log.py", "feed/machine.py", "feed/messages.py", "feed/publisher.py", "feed/relay.py",
     "feed/signature.py", "feed/snapshot.py",
-    "config/sexpr.py", "config/decode.py", "config/kinds.py", "config/fleet.py", "config/settings.py",
+    "config/sexpr.py", "config/decode.py", "config/kinds.py", "config/feed.py", "config/fleet.py", "config/settings.py",
     "config/module.py",
     "discovery/directory.py", "discovery/lines.py", "frames/codec.py",
     "platform/names.py", "knowledge/record.py", "knowledge/trust.py",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -48,7 +48,11 @@
 )
 def test_what_is_wrong_is_named_with_its_place(old, new, says):
     assert old in GOOD
-    marked = GOOD.replace(old, new)
+    check_place(GOOD.replace(old, new), says)
+
+
+def check_place(marked, says):
+    """A text is refused with these words, at the place before which @ stands."""
     before = marked[: marked.index("@")]
     line, column = before.count("\n") + 1, len(before) - before.rfind("\n")
     with pytest.raises(sexpr.SettingsError) as caught:
@@ -62,6 +66,51 @@
         reading.parse(GOOD.replace("(class compare) (blocks", "(class other) (blocks"), "x.conf")
 
 
+FEED = """
+  (feed (public-key "feed.pub") (region north) (configuration "configuration/brokers")
+    (relay one (region north) (address "127.0.0.1:7970"))
+    (relay two (region south) (address "127.0.0.1:7971"))))
+"""
+WITH_FEED = GOOD.rstrip().removesuffix(")") + FEED
+
+
+def test_a_feed_is_off_unless_it_is_set():
+    assert reading.parse(GOOD, "x.conf").feed is None
+    got = reading.parse(WITH_FEED, "x.conf").feed
+    assert got.configuration == "configuration/brokers" and [r.name for r in got.relay] == ["one", "two"]
+    without = WITH_FEED.replace('(configuration "configuration/brokers")', "")
+    assert reading.parse(without, "x.conf").feed.configuration == "configuration/broker"
+    shown = decode.show(reading.parse(WITH_FEED, "x.conf"))
+    assert reading.parse(f"(broker\n{shown}\n)", "shown").feed == got
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("(public-key", "@(public-kay", "broker > feed > public-kay: unknown key; did you mean public-key?"),
+        ('(feed (public-key "feed.pub")', "@(feed", "broker > feed: public-key is missing"),
+        ('(feed (public-key "feed.pub") (region north)', '@(feed (public-key "f")', "broker > feed: region is missing"),
+        ('"configuration/brokers"', "@7", "broker > feed > configuration: expected a text"),
+        ('(feed (public-key "feed.pub") (region north) (configuration "configuration/brokers")',
+         '@(feed (public-key "feed.pub") (region north) (configuration "brokers")', "brokers is not configuration/NAME"),
+        ('(relay two (region south) (address "127.0.0.1:7971"))', "@(relay two (region south))", "address is missing"),
+        ('(relay two (region south) (address "127.0.0.1:7971")', '@(relay two (region south) (address "7971")',
+         "broker > feed > relay two: address 7971 is not HOST:PORT"),
+    ],
+)  # fmt: skip
+def test_what_is_wrong_with_a_feed_is_named_with_its_place(old, new, says):
+    assert old in WITH_FEED
+    check_place(WITH_FEED.replace(old, new), says)
+
+
+def test_a_feed_needs_relays_with_names_of_their_own():
+    first = WITH_FEED.index("(feed")
+    twice = WITH_FEED.replace("(relay two", "(relay one")
+    check_place(f"{twice[:first]}@{twice[first:]}", "broker > feed: two relays are named one")
+    none = GOOD.rstrip().removesuffix(")") + '\n @(feed (public-key "feed.pub") (region north)))'
+    check_place(none, "broker > feed: relay is missing")
+
+
 def test_what_is_shown_can_be_read_back():
     got = reading.parse(GOOD, "x.conf")
     assert reading.parse(f"(broker\n{decode.show(got)}\n)", "shown") == got
