The publisher's check refuses a bad configuration by line and field

A publisher took any bytes for a configuration; the first to see that one was wrong were the brokers. check_configuration is a Publisher's check: values of keys under configuration/ are read as settings and refused with line, column and field. Measured: tests/test_configuration_check.py, 6 passed; a batch with one bad configuration moves no revision and no follower.

--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -22,6 +22,7 @@
     "rota": {"api", "config", "consensus", "discovery", "duties", "ledger", "log", "metrics", "net", "runtime"},
     "feed": {"consensus", "duties"},
     "feednet": {"feed"},
+    "configuration_check": {"config", "feed"},
     "knowledge": {"api"},
     "snapshot": {"knowledge"},
     "disk": set(),
--- /dev/null
+++ b/tests/test_configuration_check.py
@@ -0,0 +1,50 @@
+"""The publisher refuses a bad configuration before anybody gets it, and says where it is wrong."""
+
+import pytest
+
+from badgerbend.configuration_check import check_configuration
+from badgerbend.feed.messages import Change
+from tests.feed_stage import Control, Stage, change
+from tests.test_settings import GOOD
+
+KEY = "configuration/broker"
+
+
+def staged():
+    control = Control(check=check_configuration)
+    control.grant()
+    stage = Stage(control)
+    stage.follower("f")
+    return stage
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "reason"),
+    [
+        ("(deadline-ms 4000)", "(deadline-ms soon)",
+         f"{KEY}:5:45: broker > class compare > deadline-ms: expected a number > 0, found soon"),
+        ("(need 0.75)", "(need 1.5)", f"{KEY}:5:57: broker > class compare > need: expected a number > 0 and <= 1"),
+        ("(cells 12)", "(cells 3)", f"{KEY}:4:3: broker > layout: reach 4 must not exceed cells 3"),
+        ("(rank-by monthly)))", "(rank-by monthly))", f"{KEY}:7:1: the file ends inside a list"),
+    ],
+)  # fmt: skip
+def test_a_bad_configuration_is_refused_by_line_and_field_before_anybody_gets_it(old, new, reason):
+    assert old in GOOD
+    stage = staged()
+    stage.publish(change(KEY, GOOD))
+    (problem,) = stage.publish(change("node/1", "ready"), change(KEY, GOOD.replace(old, new)))
+    assert problem.key == KEY and problem.reason.startswith(reason), problem.reason
+    stage.pass_time(5.0)
+    assert stage.control.machine.log.revision == 1 and len(stage.installed["f"]) == 1
+    assert stage.followers["f"].log.content.get(KEY) == GOOD.encode()
+    assert stage.followers["f"].log.content.get("node/1") is None  # of the same batch: all of it or nothing
+
+
+def test_bytes_that_are_no_text_are_refused():
+    assert check_configuration(Change(KEY, b"(broker \xff)")) == f"{KEY}: not UTF-8 at byte 8"
+
+
+def test_removals_and_other_keys_are_not_judged():
+    assert check_configuration(Change(KEY, None)) == ""
+    assert check_configuration(Change("node/1", b"(broker")) == ""
+    assert check_configuration(Change("configuration", b"(broker")) == ""
