A broker takes another configuration from the feed while it runs

Cause: settings that change took effect at the next start only; the feed carried configurations that no broker used. Change: where (feed ...) is set, a broker follows the feed and makes a generation of each usable configuration: driver, module, transport and front of its own, sharing servers' connections, list, counters, site preference and the numbering of parts. New requests go to the newest; an earlier one goes with its last query and attempt. The newest begins with the list as it stands and with what earlier ones have seen of servers. A configuration that changes what cannot change while a broker runs changes nothing there; the reason, with line and field, goes back in the follower's status.

--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -7,31 +7,35 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from badgerbend import api
-from badgerbend.config.module import module_settings
 from badgerbend.config.settings import Settings
 from badgerbend.discovery.consul import ConsulTarget
 from badgerbend.discovery.lines import consul_directory
 from badgerbend.discovery.watch import Watch
-from badgerbend.graphql.fetch import FetchTransport
+from badgerbend.generation import Generation, Generations, Shared
 from badgerbend.graphql.front import GraphQLFront
 from badgerbend.graphql.schema import Subgraph, subgraph
 from badgerbend.log import get
 from badgerbend.logic import Aggregator
 from badgerbend.metrics import Metrics
-from badgerbend.net.client import Pool, PoolLimits
+from badgerbend.net.client import PoolLimits
 from badgerbend.net.server import Exchange, HttpServer, ServerLimits
-from badgerbend.peering.service import Learning, OwnAnswers
+from badgerbend.peering.service import Learning
+from badgerbend.pools import ServerPools
 from badgerbend.rota.dealing import slices_of
 from badgerbend.rota.service import Rota
 from badgerbend.runtime.driver import Driver
-from badgerbend.runtime.loop import LoopSchedule
+from badgerbend.runtime.loop import now_ms
 from badgerbend.sites.tiers import Tiers
 from badgerbend.siting import Siting
 
+if TYPE_CHECKING:
+    from badgerbend.feeding import Feeding
+
 SWEEP_S = 0.5
 TEXT = b"text/plain; version=0.0.4; charset=utf-8"
 
@@ -42,6 +46,15 @@
     return subgraph(settings, text)
 
 
+def feeding_of(settings: Settings, folder: Path, generations: Generations, metrics: Metrics) -> Feeding | None:
+    """The broker's part in the feed, whose code is loaded only where the settings ask for it."""
+    if settings.feed is None:
+        return None
+    from badgerbend.feeding import Feeding
+
+    return Feeding(settings, settings.feed, folder, generations, metrics)
+
+
 def settle_memory() -> None:
     """Once started: what lives on is left out of collections, which come seldom; few objects here form cycles."""
     gc.collect()
@@ -68,45 +81,38 @@
         self.log = get(part="broker")
         self.metrics = Metrics(tuple(c.name for c in settings.class_))
         self.directory = consul_directory(settings.layout.cells)
-        self.schedule = LoopSchedule(loop)
-        self.pools: dict[int, Pool] = {}
-        self.retired: list[Pool] = []  # of servers that left the list, until their last call has ended
         limits, listen = settings.servers, settings.listen
-        self.pool_limits = PoolLimits(
-            limits.connect_timeout_ms / 1000.0, limits.idle_ms / 1000.0, limits.max_answer_bytes
-        )
-        self.transport = FetchTransport(
-            self._pool, lambda *end: self.driver.ended(*end), settings.identity.index, limits.report
+        self.pools = ServerPools(
+            self.directory,
+            PoolLimits(limits.connect_timeout_ms / 1000.0, limits.idle_ms / 1000.0, limits.max_answer_bytes),
         )
         self.watch = Watch(
-            ConsulTarget(settings.discovery), self.directory, loop, self.schedule.now_ms, time.time,
-            lambda view: self.driver.view(view), self.metrics.trouble,
+            ConsulTarget(settings.discovery), self.directory, loop, now_ms, time.time,
+            lambda view: self.generations.view(view), self.metrics.trouble,
             settings.seed + settings.identity.index, f"badgerbend/{settings.identity.index}",
         )  # fmt: skip
-        module = module_settings(settings)
         self.siting: Siting | None = None
         if settings.sites is not None:
-            self.siting = Siting(
-                settings, settings.sites, folder, self._pool, self.schedule.now_ms, self.metrics, self.tiers
-            )
+            self.siting = Siting(settings, settings.sites, folder, self.pools.of, now_ms, self.metrics, self.tiers)
         preference = self.preference()
         slices = slices_of(settings)
         if self.siting is not None:
             self.siting.tiers.allowance = slices
-        decisions = self.decisions(module, settings.seed * 1_000_003 + settings.identity.index, preference, slices)
-        answers = OwnAnswers(self.metrics)
-        self.driver = Driver(module, decisions, self.transport, self.watch, self.schedule, answers)
+        shared = Shared(
+            loop, self.directory, self.watch, self.pools.of, self.metrics, self.decisions, preference, slices
+        )  # fmt: skip
+        self.generations = Generations(settings, graph, shared)
         self.learning: Learning | None = None
         if settings.peers is not None or settings.snapshot is not None:
             self.learning = Learning(settings, self.driver, self.directory, self.metrics.trouble)
-            answers.learning = self.learning
         self.rota: Rota | None = None
         if settings.duties is not None:
             self.rota = Rota(
-                settings, settings.duties, folder, self.driver, self.directory, self._pool, slices, clock
+                settings, settings.duties, folder, self.driver, self.directory, self.pools.of, slices, clock
             )  # fmt: skip
-        self.schedule.turn = self.driver.turn
-        self.front = GraphQLFront(settings, graph, self.driver, self.schedule.now_ms)
+        self._newest(self.generations.newest)
+        self.generations.on_newest = self._newest
+        self.feeding = feeding_of(settings, folder, self.generations, self.metrics)
         self.server = HttpServer(
             self._route,
             ServerLimits(
@@ -119,6 +125,23 @@
         self._counts: dict[str, int] = {}
         self.watch.on_taken = self._taken
 
+    @property
+    def driver(self) -> Driver:
+        """That of the newest configuration."""
+        return self.generations.newest.driver
+
+    @property
+    def front(self) -> GraphQLFront:
+        """That of the newest configuration."""
+        return self.generations.newest.front
+
+    def _newest(self, generation: Generation) -> None:
+        """Who learns and who shares duties does so for the newest configuration."""
+        generation.answers.learning = self.learning
+        for part in (self.learning, self.rota):
+            if part is not None:
+                part.driver = generation.driver
+
     def preference(self) -> api.Sites | None:
         """What the module prefers among sites by."""
         return self.siting.tiers if self.siting is not None else None
@@ -136,6 +159,8 @@
             self.siting.start()
         # a first event, so that the module asks for the list where that is its part, and for its first alarm
         self.driver.view(api.View(api.ViewKind.CACHED, ()))
+        if self.feeding is not None:
+            self.feeding.start()
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
         self.log.info("listening", host=self.settings.listen.host, port=self.port)
         return self.port
@@ -143,6 +168,8 @@
     async def stop(self) -> int:
         """Stops listening, lets what is held end, within `stop-timeout-ms`; returns how many were cut."""
         began = self.loop.time()
+        if self.feeding is not None:
+            self.feeding.close()
         if self.rota is not None:
             await self.rota.close()  # first: others wait for what it holds
         cut = await self.server.close(self.settings.listen.stop_timeout_ms / 1000.0)
@@ -151,8 +178,7 @@
             self.siting.close()
         if self.learning is not None:
             await self.learning.close()
-        for pool in (*self.pools.values(), *self.retired):
-            pool.close()
+        self.pools.close()
         if self._sweeper is not None:
             self._sweeper.cancel()
         self.log.info("stopped", cut=cut, took_ms=round((self.loop.time() - began) * 1000))
@@ -202,36 +228,20 @@
             for state, n in counts.items():
                 self.metrics.servers.labels(state).set(n)
             self.log.info("list", **counts)
-        for node in [n for n in self.pools if n not in self.directory.addresses]:
-            self.retired.append(self.pools.pop(node))
+        self.pools.list_taken()
         if self.learning is not None:
             self.learning.list_read()
 
-    def _pool(self, node: int) -> Pool | None:
-        pool = self.pools.get(node)
-        address = self.directory.addresses.get(node)
-        if pool is not None and address is not None and (pool.host, pool.port) != address:
-            self.retired.append(self.pools.pop(node))
-            pool = None
-        if pool is None and address is not None:
-            pool = self.pools[node] = Pool(*address, self.pool_limits)
-        return pool
-
     def _sweep(self) -> None:
-        now = self.loop.time()
-        for pool in (*self.pools.values(), *self.retired):
-            pool.sweep(now)
-        for pool in self.retired:
-            pool.close_idle()
-        self.retired = [p for p in self.retired if p.open]
+        self.pools.sweep(self.loop.time())
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
     def _gauges(self) -> None:
         m = self.metrics
-        m.open.set(len(self.driver.queries))
+        m.open.set(self.generations.open_queries)
         m.connections.set(len(self.server.connections))
-        m.handshakes.set(sum(p.opened for p in (*self.pools.values(), *self.retired)))
-        m.called_off.set(self.transport.called_off)
+        m.handshakes.set(self.pools.opened)
+        m.called_off.set(self.generations.called_off)
         if self.siting is not None:
             self.siting.gauges()
         if self.learning is not None:
--- a/badgerbend/graphql/schema.py
+++ b/badgerbend/graphql/schema.py
@@ -45,6 +45,7 @@
     sdl: str  # what `_service` answers and `badgerbend sdl` prints
     fields: dict[str, FieldMap]  # root fields by name
     entities: dict[str, EntityMap]  # by type name
+    text: str  # the operator's types, as they were read
 
 
 def build_subgraph(text: str, entity_types: list[str]) -> tuple[GraphQLSchema, str]:
@@ -98,7 +99,7 @@
         kind = schema.type_map[entity.name]
         if not isinstance(kind, GraphQLObjectType) or entity.key not in kind.fields:
             raise SchemaError(f"entity {entity.name} has no field {entity.key}")
-    return Subgraph(schema, sdl, fields, {e.name: e for e in settings.entity})
+    return Subgraph(schema, sdl, fields, {e.name: e for e in settings.entity}, text)
 
 
 def _check(schema: GraphQLSchema, mapped: FieldMap, field: GraphQLField, mutation: bool) -> None:
--- a/badgerbend/metrics.py
+++ b/badgerbend/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from copy import copy
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from badgerbend import api
@@ -15,7 +17,6 @@
     """The runtime's `Observer`: counts, and logs what a person would ask about."""
 
     def __init__(self, classes: tuple[str, ...]) -> None:
-        self.classes = classes
         self.registry = CollectorRegistry()
         r = self.registry
         self.queries = Counter("badgerbend_queries_total", "Queries ended, by how", ["class", "how"], registry=r)
@@ -46,13 +47,23 @@
         )  # fmt: skip
         self.duties = Gauge("badgerbend_duty", "What this broker knows of a duty", ["duty", "what"], registry=r)
         self.rota = Gauge("badgerbend_duties", "Its part in duties and votes, see docs/duties.md", ["what"], registry=r)
+        self._outcomes = {o: self.attempts.labels(o.name.lower()) for o in api.Outcome}
+        self._log = get(part="broker")
+        self._name_classes(classes)
+
+    def _name_classes(self, classes: tuple[str, ...]) -> None:
+        self.classes = classes
         self._ended = {
             (c, how): self.queries.labels(c, how)
             for c in classes
             for how in ("answered", "answered in part", "refused", "failed", "gone", "failed by the watch")
         }
-        self._outcomes = {o: self.attempts.labels(o.name.lower()) for o in api.Outcome}
-        self._log = get(part="broker")
+
+    def of_classes(self, classes: tuple[str, ...]) -> Metrics:
+        """An observer of queries of these classes that counts into the same registry."""
+        other = copy(self)
+        other._name_classes(classes)
+        return other
 
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, took_ms: float) -> None:
         self._outcomes[outcome].inc()
--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -8,7 +8,7 @@
 
 import heapq
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from itertools import count
 
 from badgerbend import api
@@ -41,7 +41,10 @@
 
 
 class Driver:
-    """Drives one module made for `settings`. All methods are called from one thread, the loop's."""
+    """Drives one module made for `settings`. All methods are called from one thread, the loop's.
+
+    ids: of queries and parts; drivers that share anything keyed by these share the counter too.
+    """
 
     def __init__(
         self,
@@ -51,13 +54,14 @@
         servers: ServerList,
         schedule: Schedule,
         observer: Observer,
+        ids: Iterator[int] | None = None,
     ) -> None:
         self.settings, self.module = settings, module
         self.transport, self.servers, self.schedule, self.observer = transport, servers, schedule, observer
         self.queries: dict[int, _Query] = {}
         self.open_parts = 0
         self._events: list[api.Event] = []
-        self._ids, self._numbers, self._order = count(1), count(1), count()
+        self._ids, self._numbers, self._order = ids or count(1), count(1), count()
         self._owners: dict[int, int] = {}  # the query of each part that is not over
         self._tries: dict[int, int] = {}  # attempts made, by part that is not over
         self._out: dict[tuple[int, int], Attempt] = {}
@@ -117,6 +121,11 @@
         """What this broker has seen itself, as of the last step."""
         return self.module.known()
 
+    @property
+    def idle(self) -> bool:
+        """Whether no query is held, no attempt is out and the module has been told of all that happened."""
+        return not (self.queries or self._out or self._events)
+
     # -- One turn.
     def turn(self) -> None:
         """One step for all that has happened, then its actions in their order."""
--- a/badgerbend/runtime/loop.py
+++ b/badgerbend/runtime/loop.py
@@ -7,20 +7,33 @@
 from collections.abc import Callable
 
 
+def now_ms() -> float:
+    """Milliseconds on a clock that does not go backwards; the loop's own counts whole ones."""
+    return time.monotonic() * 1000.0
+
+
 class LoopSchedule:
     """`Schedule` on a loop. `turn` is the driver's, set once it exists."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
         self.turn: Callable[[], None] = lambda: None
-        self._soon = False
+        self._soon = self._closed = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
 
     def now_ms(self) -> float:
-        return time.monotonic() * 1000.0  # the loop's own clock counts whole milliseconds
+        return now_ms()
+
+    def close(self) -> None:
+        """No turn comes any more."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
 
     def wake(self, at_ms: float | None) -> None:
+        if self._closed:
+            return
         if at_ms is None:
             if not self._soon:
                 self._soon = True
@@ -38,4 +51,5 @@
 
     def _run(self) -> None:
         self._soon = False
-        self.turn()
+        if not self._closed:
+            self.turn()
--- /dev/null
+++ b/tests/test_feed_broker.py
@@ -0,0 +1,405 @@
+"""A broker that follows the feed, over loopback: configurations in force between two turns of its loop."""
+
+import asyncio
+import gc
+import itertools
+import subprocess
+import sys
+import weakref
+from collections import Counter
+
+import msgspec
+import pytest
+
+from badgerbend import generation
+from badgerbend.broker import Broker
+from badgerbend.config.feed import Feed, RelayAt
+from badgerbend.config.fleet import Site, Sites
+from badgerbend.config.settings import Snapshot
+from badgerbend.configuration_check import check_configuration
+from badgerbend.feed.log import Retention
+from badgerbend.feed.relay import Relay, RelayTuning
+from badgerbend.feeding import WAITS, read_public_key
+from badgerbend.feednet.relay import RelayServer
+from tests.feed_stage import SIGNER, Control, change
+from tests.sockets import EXAMPLE, Stage, run, until
+
+KEY = "configuration/broker"
+LEFT_OUT = ("(listen (port 8080))", '(discovery (port 8500) (service "rates"))')  # each broker has its own
+PUBLISHED = EXAMPLE.read_text()
+for form in LEFT_OUT:
+    assert form in PUBLISHED
+    PUBLISHED = PUBLISHED.replace(form, "")
+FULL_QUOTE = "(class full-quote (aim-ms 1000) (deadline-ms 3000))"
+assert FULL_QUOTE in PUBLISHED
+ASK = "{ fullQuote(blocks: [1], amount: 5) { id } }"
+SLOW_MS = 600.0
+CHANGES = 20
+CLIENTS = 8
+
+
+def configuration(full_quote=FULL_QUOTE, *forms):
+    """A published configuration with another class for full quotes, and further forms."""
+    text = PUBLISHED.replace(FULL_QUOTE, full_quote)
+    return text.rstrip().removesuffix(")") + "\n" + "\n".join(forms) + ")\n"
+
+
+def with_deadline(deadline_ms, *forms):
+    aim_ms = min(deadline_ms, 1000)
+    return configuration(f"(class full-quote (aim-ms {aim_ms}) (deadline-ms {deadline_ms}))", *forms)
+
+
+class FeedStage(Stage):
+    """A world, and a broker that follows a relay's feed."""
+
+    def __init__(self, tmp_path, **changes):
+        super().__init__(**changes)
+        self.key_file = tmp_path / "feed.pub"
+        self.key_file.write_text(SIGNER.public_key().hex() + "\n")
+        self.control = Control(Retention(), check=check_configuration)
+        self.control.grant()
+        self.relay = Relay("relay-1", self.control.machine.log, RelayTuning())
+
+    async def __aenter__(self):
+        self.relay_server = RelayServer(self.relay)
+        port = await self.relay_server.start("127.0.0.1", 0)
+        address = RelayAt("relay-1", "north", f"127.0.0.1:{port}")
+        self.changes["feed"] = Feed(str(self.key_file), "north", (address,))
+        await super().__aenter__()
+        await until(lambda: self.relay.summary().followers)
+        return self
+
+    async def __aexit__(self, *error):
+        await super().__aexit__(*error)
+        await self.relay_server.stop()
+
+    @property
+    def generations(self):
+        return self.broker.generations
+
+    def publish(self, text):
+        """Publishes a configuration; its revision."""
+        assert self.control.publish(self.relay_server.clock(), change(KEY, text)) == ()
+        self.relay_server.published()
+        return self.control.machine.log.revision
+
+    async def in_force(self, text):
+        """Publishes a configuration and waits until the broker has it in force."""
+        revision = self.publish(text)
+        await until(lambda: self.broker.feeding.in_force.current.revision == revision)
+
+    def slow(self, part_ms):
+        for server in self.world.servers.values():
+            server.machine.model.part_ms = part_ms
+
+    def counted(self):
+        """Queries ended, by how, and troubles."""
+        samples = [s for m in self.broker.metrics.registry.collect() for s in m.samples]
+        ended, troubles = Counter(), Counter()
+        for sample in samples:
+            if sample.name == "badgerbend_queries_total":
+                ended[sample.labels["how"]] += int(sample.value)
+            elif sample.name == "badgerbend_troubles_total":
+                troubles[sample.labels["kind"]] += int(sample.value)
+        return +ended, +troubles
+
+
+def test_a_query_under_way_ends_under_its_configuration_and_the_next_under_the_new_one(tmp_path):
+    async def main():
+        async with FeedStage(tmp_path) as s:
+            s.slow(SLOW_MS)
+            before = s.generations.newest
+            first = asyncio.ensure_future(s.client.query(ASK))
+            await until(lambda: before.driver.queries)
+            forms = ("(tenant a (quota-per-s 7))", "(tenant b (quota-per-s 8))")
+            await s.in_force(with_deadline(300, *forms).replace("(need 0.75)", "(need 0.9)"))
+            newest = s.generations.newest
+            assert newest is not before and s.generations.earlier == [before] and before.driver.queries
+            assert [t.quota_per_s for t in newest.driver.module.set.tenants] == [7.0, 8.0]
+            assert [c.need for c in newest.driver.module.set.classes][1] == 0.9
+            assert (await s.client.query(ASK))[0] == 403  # tenants are told apart from now on
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            _, answer, _ = await s.client.query(ASK, badgerbend_tenant="b")
+            assert answer["errors"] and loop.time() - began < SLOW_MS / 1000.0  # by the new deadline
+            status, answer, _ = await first
+            assert status == 200 and len(answer["data"]["fullQuote"]) == 4  # by the old one
+            await until(lambda: not s.generations.earlier)
+            _, troubles = s.counted()
+            assert not troubles
+
+    run(main)
+
+
+def test_no_query_is_lost_or_answered_twice_over_many_changes_under_load(tmp_path):
+    async def main():
+        async with FeedStage(tmp_path) as s:
+            answered, over, rates = Counter(), asyncio.Event(), itertools.count()
+            s.slow(10.0)
+
+            async def reads(block):
+                while not over.is_set():
+                    status, answer, _ = await s.client.query(f"{{ fullQuote(blocks: [{block}], amount: 5) {{ id }} }}")
+                    assert status == 200 and "errors" not in answer, answer
+                    assert [row["id"] for row in answer["data"]["fullQuote"]] == [f"{block}:{i}" for i in range(4)]
+                    answered["read"] += 1
+
+            async def writes(block):
+                while not over.is_set():
+                    rate = next(rates)
+                    one, other = f'"{block}:{rate}"', f'"{block}:{rate}x"'
+                    text = (
+                        f"mutation {{ a: signLease(block: {block}, rate: {one}) {{ rate }} "
+                        f"b: signLease(block: {block}, rate: {other}) {{ rate }} }}"
+                    )
+                    status, answer, _ = await s.client.query(text)
+                    assert status == 200 and answer["data"]["a"]["rate"] == f"{block}:{rate}", answer
+                    assert answer["data"]["b"]["rate"] == f"{block}:{rate}x"
+                    answered["write"] += 1
+
+            load = [asyncio.ensure_future(reads(i)) for i in range(CLIENTS)]
+            load += [asyncio.ensure_future(writes(i)) for i in range(CLIENTS, CLIENTS + 2)]
+            most_living = 0
+            for number in range(CHANGES):
+                goal = answered.total() + CLIENTS
+                await until(lambda goal=goal: answered.total() >= goal or any(one.done() for one in load))
+                await s.in_force(with_deadline(3000 + number))
+                most_living = max(most_living, len(s.generations.living))
+                assert s.generations.newest.settings.class_[0].deadline_ms == 3000 + number
+            over.set()
+            await asyncio.gather(*load)
+            await until(lambda: not s.generations.earlier)
+            ended, troubles = s.counted()
+            assert ended == Counter(answered=answered["read"] + 2 * answered["write"]) and not troubles
+            signed = Counter(p["query"] for r in s.seen("ran") if r["write"] for p in r["parts"])
+            assert len(signed) == 2 * answered["write"] and set(signed.values()) == {1}
+            assert most_living > 1
+
+    run(main)
+
+
+def test_an_earlier_generation_is_gone_with_its_last_query(tmp_path):
+    async def main():
+        async with FeedStage(tmp_path) as s:
+            s.slow(SLOW_MS)
+            await s.in_force(with_deadline(2900))
+            earlier = weakref.ref(s.generations.newest)
+            call = s.client.ask(ASK, None, {}, lambda reply: None)
+            await until(lambda: s.generations.newest.driver.queries)
+            await s.in_force(with_deadline(2800))
+            assert s.generations.earlier == [earlier()]
+            call.abort()  # its client leaves
+            await until(lambda: not s.generations.earlier)
+            await until(lambda: gc.collect() is not None and earlier() is None)
+
+    run(main)
+
+
+def test_attempts_that_outlive_their_query_are_waited_for(tmp_path):
+    async def main():
+        changes = {"attempts": {"cancel": False}}
+        async with FeedStage(tmp_path, **changes) as s:
+            s.slow(SLOW_MS)
+            before = s.generations.newest
+            call = s.client.ask(ASK, None, {}, lambda reply: None)
+            await until(lambda: s.seen("ran"))
+            await s.in_force(with_deadline(2900))
+            call.abort()
+            await until(lambda: not before.driver.queries)
+            assert s.generations.earlier == [before]
+            await until(lambda: s.seen("answered"))
+            await until(lambda: not s.generations.earlier)
+
+    run(main)
+
+
+def test_a_new_generation_begins_with_the_list_and_with_what_was_seen_and_hears_news_with_the_earlier(tmp_path):
+    async def main():
+        async with FeedStage(tmp_path) as s:
+            for number in range(60):
+                await s.client.query(f"{{ fullQuote(blocks: [{number % 24}], amount: 5) {{ id }} }}")
+            before = s.generations.newest
+            await until(lambda: before.driver.module.usual > 0.0)
+            known = {one.node: one.time_ms for one in before.driver.known().nodes}
+            usual = before.driver.module.usual
+            assert known
+            for deadline_ms in (2900, 2800, 2700):  # one right after the other: what was seen goes on
+                await s.in_force(with_deadline(deadline_ms))
+            newest = s.generations.newest
+            await until(lambda: newest.driver.module.nodes)
+            ready = {n.id for n in newest.driver.module.nodes.values() if n.ready}
+            assert ready == set(s.broker.directory.addresses) and len(ready) == 12
+            assert {one.node: one.time_ms for one in newest.driver.known().nodes} == known
+            assert newest.driver.module.usual == pytest.approx(usual, rel=0.5)
+            s.slow(SLOW_MS)
+            held = asyncio.ensure_future(s.client.query(ASK))
+            await until(lambda: newest.driver.queries)
+            await s.in_force(with_deadline(2600))
+            gone = next(iter(s.world.servers))
+            s.world.crash(gone)
+            modules = [one.driver.module for one in s.generations.living]
+            await until(lambda: all(sum(n.ready for n in m.nodes.values()) == 11 for m in modules))
+            assert len(modules) == 2
+            await held
+
+    run(main)
+
+
+def test_who_learns_goes_on_with_the_newest_generation(tmp_path):
+    async def main():
+        async with FeedStage(tmp_path, snapshot=Snapshot(str(tmp_path / "seen"))) as s:
+            for number in range(24):
+                await s.client.query(f"{{ fullQuote(blocks: [{number}], amount: 5) {{ id }} }}")
+            learning = s.broker.learning
+            seen = learning.record()
+            assert seen.servers
+            await s.in_force(with_deadline(2900))
+            newest = s.generations.newest
+            assert learning.driver is newest.driver and newest.answers.learning is learning
+            assert {one.name for one in learning.record().servers} == {one.name for one in seen.servers}
+
+    run(main)
+
+
+def test_generations_share_the_preference_among_sites(tmp_path):
+    async def main():
+        sites = Sites((Site("north", (0,), 1), Site("south", (1,), 0)), 1000.0)
+        async with FeedStage(tmp_path, sites=sites) as s:
+            s.slow(SLOW_MS)
+            tiers = s.broker.siting.tiers
+            held = asyncio.ensure_future(s.client.query(ASK))
+            await until(lambda: s.generations.newest.driver.queries)
+            await s.in_force(PUBLISHED.replace("(free 5)", "(free 6)"))
+            earlier, newest = s.generations.earlier[0], s.generations.newest
+            assert newest.driver.module.sites is earlier.driver.module.sites is tiers
+            next_one = asyncio.ensure_future(s.client.query(ASK))
+            await until(lambda: newest.driver.queries)
+            assert not set(earlier.driver._owners) & set(newest.driver._owners)  # parts are told apart
+            for status, answer, _ in await asyncio.gather(held, next_one):
+                assert status == 200 and len(answer["data"]["fullQuote"]) == 4
+            await until(lambda: not s.generations.earlier and newest.idle)
+            assert not any(site.seen.out for site in tiers.sites)
+            s.publish(with_deadline(2900))  # another class: preference among sites rests on it
+            await until(lambda: s.relay.summary().refused)
+            assert "broker > class: cannot change" in s.relay.summary().laggards[0].reason
+
+    run(main)
+
+
+def test_a_new_generation_follows_a_list_that_is_told_only_on_asking(tmp_path):
+    async def main():
+        async with FeedStage(tmp_path, discovery={"mode": "ask"}) as s:
+            await s.in_force(with_deadline(2900))
+            newest = s.generations.newest.driver.module
+            await until(lambda: sum(n.ready for n in newest.nodes.values()) == 12)
+            s.world.crash(next(iter(s.world.servers)))
+            await until(lambda: sum(n.ready for n in newest.nodes.values()) == 11)
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "reason"),
+    [
+        ("(cells 12)", "(cells 13)", f"{KEY}:5:3: broker > layout: cannot change while the broker runs"),
+        ("(layout", "(listen (port 1)) (layout", f"{KEY}:5:3: broker > listen: cannot change while the broker runs"),
+        ("(field signLease", "(field signLoan", f"{KEY}: schema: root field Mutation.signLease has no (field"),
+    ],
+)
+def test_a_configuration_that_a_broker_cannot_use_changes_nothing_there_and_is_reported(tmp_path, old, new, reason):
+    async def main():
+        async with FeedStage(tmp_path) as s:
+            assert old in PUBLISHED
+            before = s.generations.newest
+            revision = s.publish(PUBLISHED.replace(old, new))
+            await until(lambda: s.relay.summary().refused)
+            (laggard,) = s.relay.summary().laggards
+            assert (laggard.name, laggard.refused) == ("broker-0", revision)
+            assert laggard.reason.startswith(reason), laggard.reason
+            assert s.generations.living == (before,)
+            assert (await s.client.query(ASK))[0] == 200
+            await s.in_force(with_deadline(2900))
+            assert s.generations.newest is not before
+            await until(lambda: s.relay.summary().refused == 0 and s.relay.summary().in_force == 1)
+
+    run(main)
+
+
+def test_a_configuration_waits_where_too_many_earlier_ones_still_have_queries(tmp_path, monkeypatch):
+    monkeypatch.setattr(generation, "MOST_LIVING", 2)
+
+    async def main():
+        async with FeedStage(tmp_path) as s:
+            s.slow(2 * SLOW_MS)
+            held = asyncio.ensure_future(s.client.query(ASK))
+            await until(lambda: s.generations.newest.driver.queries)
+            await s.in_force(with_deadline(2900))
+            s.publish(with_deadline(2800))
+            s.publish(with_deadline(2700))
+            await until(lambda: s.relay.summary().refused)
+            assert s.relay.summary().laggards[0].reason == WAITS and len(s.generations.living) == 2
+            assert s.generations.newest.settings.class_[0].deadline_ms == 2900
+            assert (await held)[0] == 200
+            await until(lambda: s.generations.newest.settings.class_[0].deadline_ms == 2700)
+            await until(lambda: s.relay.summary().refused == 0)
+
+    run(main)
+
+
+def test_one_that_says_what_is_in_force_or_is_taken_away_begins_no_generation(tmp_path):
+    async def main():
+        async with FeedStage(tmp_path) as s:
+            before = s.generations.newest
+            await s.in_force(PUBLISHED)
+            assert s.generations.newest is before
+            s.publish(None)
+            await until(lambda: s.broker.feeding.client.follower.in_force == 2)
+            assert s.generations.living == (before,)
+
+    run(main)
+
+
+def test_a_public_key_is_read_or_refused(tmp_path):
+    file = tmp_path / "key"
+    file.write_text(SIGNER.public_key().hex() + "\n")
+    assert read_public_key(file) == SIGNER.public_key()
+    for text, says in (("zz", "is not hexadecimal"), ("00ff", "has 2 bytes and not 32"), ("\u00e9", "not hexadecimal")):
+        file.write_text(text)
+        with pytest.raises(ValueError, match=says):
+            read_public_key(file)
+
+
+def test_without_the_form_nothing_of_the_feed_is_imported_or_started():
+    code = """
+import asyncio, sys
+import badgerbend.cli, badgerbend.process
+from badgerbend.broker import Broker, read_subgraph
+from badgerbend.config.reading import load
+import msgspec, pathlib
+path = pathlib.Path(sys.argv[1])
+async def main():
+    base = load(path)
+    listen = msgspec.structs.replace(base.listen, port=0)
+    settings = msgspec.structs.replace(base, listen=listen)
+    broker = Broker(settings, read_subgraph(settings, path))
+    await broker.start()
+    assert broker.feeding is None
+    await broker.stop()
+asyncio.run(main())
+print(*sys.modules)
+"""
+    command = [sys.executable, "-c", code, str(EXAMPLE)]
+    loaded = subprocess.run(command, capture_output=True, text=True, check=True).stdout.split()
+    assert "badgerbend.broker" in loaded and "badgerbend.generation" in loaded
+    feeds = ("badgerbend.feed", "badgerbend.feednet", "badgerbend.feeding", "badgerbend.configuration_check")
+    assert not [name for name in loaded if name.startswith(feeds)]
+
+
+def test_a_feed_whose_key_cannot_be_read_stops_the_start(tmp_path):
+    async def main():
+        async with Stage() as s:
+            feed = Feed("none.pub", "north", (RelayAt("relay-1", "north", "127.0.0.1:1"),))
+            with pytest.raises(FileNotFoundError):
+                Broker(msgspec.structs.replace(s.settings, feed=feed), s.broker.front.subgraph, tmp_path)
+
+    run(main)
