The list of servers comes from the feed where (feed ... (list true)) asks for it

Cause: the feed carries rows of servers, and a running broker knew Consul's list only. Change: discovery/keyed.py reads changes of rows by name in slices, those that came last first; a drain that comes while a longer list is being read wins, and the first list is told whole with what came meanwhile in it. Reading takes names that left beside changed rows. A key taken away removes its server; removals that would leave none wait until there are others, as an empty list is no news today. check_change is the publisher's check of rows and configurations.

--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -14,8 +14,10 @@
 from badgerbend import api
 from badgerbend.config.settings import Settings
 from badgerbend.discovery.consul import ConsulTarget
+from badgerbend.discovery.keyed import KeyedList, keyed_directory
 from badgerbend.discovery.lines import consul_directory
 from badgerbend.discovery.watch import Watch
+from badgerbend.duties_front import handle_duties
 from badgerbend.generation import Generation, Generations, Shared
 from badgerbend.graphql.front import GraphQLFront
 from badgerbend.graphql.schema import Subgraph, subgraph
@@ -46,15 +48,6 @@
     return subgraph(settings, text)
 
 
-def feeding_of(settings: Settings, folder: Path, generations: Generations, metrics: Metrics) -> Feeding | None:
-    """The broker's part in the feed, whose code is loaded only where the settings ask for it."""
-    if settings.feed is None:
-        return None
-    from badgerbend.feeding import Feeding
-
-    return Feeding(settings, settings.feed, folder, generations, metrics)
-
-
 def settle_memory() -> None:
     """Once started: what lives on is left out of collections, which come seldom; few objects here form cycles."""
     gc.collect()
@@ -80,17 +73,14 @@
         self.settings, self.loop = settings, loop
         self.log = get(part="broker")
         self.metrics = Metrics(tuple(c.name for c in settings.class_))
-        self.directory = consul_directory(settings.layout.cells)
+        listed_by_feed = settings.feed is not None and settings.feed.list
+        self.directory = (keyed_directory if listed_by_feed else consul_directory)(settings.layout.cells)
         limits, listen = settings.servers, settings.listen
         self.pools = ServerPools(
             self.directory,
             PoolLimits(limits.connect_timeout_ms / 1000.0, limits.idle_ms / 1000.0, limits.max_answer_bytes),
         )
-        self.watch = Watch(
-            ConsulTarget(settings.discovery), self.directory, loop, now_ms, time.time,
-            lambda view: self.generations.view(view), self.metrics.trouble,
-            settings.seed + settings.identity.index, f"badgerbend/{settings.identity.index}",
-        )  # fmt: skip
+        self.watch = self._keyed_list() if listed_by_feed else self._consul_watch()
         self.siting: Siting | None = None
         if settings.sites is not None:
             self.siting = Siting(settings, settings.sites, folder, self.pools.of, now_ms, self.metrics, self.tiers)
@@ -112,7 +102,7 @@
             )  # fmt: skip
         self._newest(self.generations.newest)
         self.generations.on_newest = self._newest
-        self.feeding = feeding_of(settings, folder, self.generations, self.metrics)
+        self.feeding = self._feeding(folder)
         self.server = HttpServer(
             self._route,
             ServerLimits(
@@ -125,6 +115,29 @@
         self._counts: dict[str, int] = {}
         self.watch.on_taken = self._taken
 
+    def _keyed_list(self) -> KeyedList | Watch:
+        """The list as the feed brings it."""
+        return KeyedList(self.directory, self.loop, now_ms, time.time, self._view, self.metrics.trouble)
+
+    def _consul_watch(self) -> KeyedList | Watch:
+        settings, index = self.settings, self.settings.identity.index
+        return Watch(
+            ConsulTarget(settings.discovery), self.directory, self.loop, now_ms, time.time, self._view,
+            self.metrics.trouble, settings.seed + index, f"badgerbend/{index}",
+        )  # fmt: skip
+
+    def _feeding(self, folder: Path) -> Feeding | None:
+        """The broker's part in the feed, whose code is loaded only where the settings ask for it."""
+        if self.settings.feed is None:
+            return None
+        from badgerbend.feeding import Feeding
+
+        listed = self.watch if isinstance(self.watch, KeyedList) else None
+        return Feeding(self.settings, self.settings.feed, folder, self.generations, self.metrics, listed)
+
+    def _view(self, view: api.View) -> None:
+        self.generations.view(view)
+
     @property
     def driver(self) -> Driver:
         """That of the newest configuration."""
@@ -195,7 +208,7 @@
             status = self.learning.status() if self.learning is not None else {"members": []}
             exchange.respond(200, msgspec.json.encode(status), b"application/json")
         elif path.startswith(b"/duties"):
-            self._duties(exchange, path)
+            handle_duties(self.rota, exchange, path)
         elif path.startswith(b"/sites") and self.siting is not None:
             self.siting.handle(exchange)
         elif path == b"/ready":
@@ -204,21 +217,6 @@
         else:
             exchange.respond(404, b"not found; GraphQL is at /graphql\n", b"text/plain")
 
-    def _duties(self, exchange: Exchange, path: bytes) -> None:
-        """What is held, for anybody; commands for those who send the key."""
-        if self.rota is None:
-            exchange.respond(404, b"no duties are set\n", b"text/plain")
-        elif path == b"/duties":
-            exchange.respond(200, msgspec.json.encode(self.rota.status()), b"application/json")
-        elif exchange.method != b"POST":
-            exchange.respond(405, b"POST it\n", b"text/plain", ((b"allow", b"POST"),))
-        elif not self.rota.allows(exchange.headers.get(b"authorization", b"")):
-            exchange.respond(403, b"the duties' key is wanted, as a bearer token\n", b"text/plain")
-        else:
-            status, word = self.rota.command(path.removeprefix(b"/duties/").decode("latin-1"))
-            body = msgspec.json.encode({"said": word}) if status == 200 else word.encode() + b"\n"
-            exchange.respond(status, body, b"application/json" if status == 200 else b"text/plain")
-
     def _taken(self) -> None:
         """A list is in force: what hangs on the whole of it."""
         states = [known.line.state for known in self.directory.known.values()]
@@ -256,5 +254,7 @@
                     m.datagrams.labels(which).set(n)
         if self.rota is not None:
             self.rota.gauges(m)
-        if self.watch.heard_at is not None:
+        if self.feeding is not None and isinstance(self.watch, KeyedList):
+            m.list_age.set(self.feeding.age_s)
+        elif self.watch.heard_at is not None:
             m.list_age.set(self.loop.time() - self.watch.heard_at)
--- a/badgerbend/config/feed.py
+++ b/badgerbend/config/feed.py
@@ -9,6 +9,7 @@
 from badgerbend.config.kinds import Name, check_host_port
 
 CONFIGURATION_PREFIX = "configuration/"  # keys of the feed that begin so hold a configuration
+NODE_PREFIX = "node/"  # and those that begin so a server of the list
 MOST_NAME = 64  # characters of a relay's or a region's name
 
 ShortName = Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_NAME)]
@@ -30,13 +31,15 @@
     """The feed that this broker follows. Without this none is followed.
 
     public_key: the file with the publisher's public key, 64 hexadecimal digits. region: this broker's; relays of the
-    same region are tried first. configuration: the key under which its configuration is published.
+    same region are tried first. configuration: the key under which its configuration is published. list: whether the
+    list of servers comes from the feed too, in place of Consul's.
     """
 
     public_key: Name
     region: ShortName
     relay: tuple[RelayAt, ...]
     configuration: Key = f"{CONFIGURATION_PREFIX}broker"
+    list: bool = False
 
     def __post_init__(self) -> None:
         if not self.relay:
--- a/badgerbend/discovery/directory.py
+++ b/badgerbend/discovery/directory.py
@@ -115,14 +115,21 @@
     `slices` reads the rows; `take`, once they are through, puts them in force; `news` tells them to the module: the
     first list whole, since nothing is served before it, as is one after a list that was left half told; later ones as
     what has changed. Until `take` the directory is as it was: a list that turns out to be none changes nothing.
-    whole: a server that does not stand in the rows has left; else the rows are those that changed.
+    whole: a server that does not stand in the rows has left; else the rows are those that changed, and `left` names
+    those that have left.
     """
 
     def __init__(
-        self, directory: Directory, rows: Sequence[msgspec.Raw], now_ms: float, unix_s: float, whole: bool = True
+        self,
+        directory: Directory,
+        rows: Sequence[msgspec.Raw],
+        now_ms: float,
+        unix_s: float,
+        whole: bool = True,
+        left: Sequence[str] = (),
     ) -> None:
         self.directory, self.rows, self.now_ms, self.unix_s = directory, rows, now_ms, unix_s
-        self.whole = whole
+        self.whole, self.left = whole, left
         self.lines: dict[str, _Known] = {}
         self.changed: dict[str, api.NodeLine] = {}
         self.wrong: list[str] = []
@@ -192,16 +199,24 @@
     def _take_changes(self) -> None:
         """Costs what the changes cost, however long the list is."""
         directory = self.directory
+        for name in self.left:
+            if (old := directory.known.get(name)) is not None:
+                self._remove(name, old)
+                self.changed[name] = replace(old.line, state=api.NodeState.GONE)
         for name, known in self.lines.items():
             if known.line.state == api.NodeState.GONE:
-                directory.known.pop(name, None)
-                directory.addresses.pop(known.line.node, None)
-                directory.names.pop(known.line.node, None)
+                self._remove(name, known)
             else:
                 directory.known[name] = known
                 directory.addresses[known.line.node] = known.address
                 directory.names[known.line.node] = name
 
+    def _remove(self, name: str, known: _Known) -> None:
+        directory = self.directory
+        directory.known.pop(name, None)
+        directory.addresses.pop(known.line.node, None)
+        directory.names.pop(known.line.node, None)
+
     def news(self) -> Iterator[api.View]:
         """What the module is told, a view a step; at least one, since a list was heard."""
         if self.first:
--- a/badgerbend/feeding.py
+++ b/badgerbend/feeding.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from badgerbend.config.feed import Feed, RelayAt
+from badgerbend.config.feed import NODE_PREFIX, Feed, RelayAt
 from badgerbend.config.published import settings_in_force
 from badgerbend.config.settings import Settings
 from badgerbend.config.sexpr import SettingsError
+from badgerbend.discovery.keyed import KeyedList
 from badgerbend.feed.configuration import ConfigurationInForce, UnusableConfiguration
 from badgerbend.feed.errors import FeedError
 from badgerbend.feed.follower import Follower, FollowerTuning, RelayAddress
@@ -48,7 +49,8 @@
 class Feeding:
     """The owner of a broker's follower (`feednet.follower.FollowerOwner`). Built and used on the broker's loop.
 
-    folder: what the public key's file is relative to. Raises OSError or ValueError for that file.
+    folder: what the public key's file is relative to. listed: what takes the list of servers, where the feed brings it.
+    Raises OSError or ValueError for the public key's file.
     """
 
     def __init__(
@@ -58,9 +60,11 @@
         folder: Path,
         generations: Generations,
         metrics: Metrics,
+        listed: KeyedList | None = None,
         tuning: FollowerTuning = TUNING,
     ) -> None:
         self.own, self.feed, self.generations, self.metrics = settings, feed, generations, metrics
+        self.listed = listed
         self.log = get(part="feed")
         self.in_force = ConfigurationInForce(self._read, Usable(settings, generations.newest.graph))
         follower = Follower(
@@ -87,9 +91,16 @@
         if self._again is not None:
             self._again.cancel()
 
+    @property
+    def age_s(self) -> float:
+        """How old the replica may be; infinite before a relay was heard."""
+        return self.client.follower.age_s(self.client.clock())
+
     # -- the follower's side
     def install(self, revision: int, changes: tuple[Change, ...]) -> str:
         """Puts changes in force; why the newest configuration is not in force, or nothing."""
+        if self.listed is not None:
+            self.listed.change(_node_rows(changes))
         for change in changes:
             if change.key == self.feed.configuration:
                 self._configure(revision, change.value)
@@ -154,6 +165,12 @@
         return subgraph(settings, newest.graph.text)
 
 
+def _node_rows(changes: tuple[Change, ...]) -> dict[str, bytes | None]:
+    """Rows of the list of servers among changes, by the server's name."""
+    nodes = (change for change in changes if change.key.startswith(NODE_PREFIX))
+    return {change.key.removeprefix(NODE_PREFIX): change.value for change in nodes}
+
+
 def _relay_address(relay: RelayAt) -> RelayAddress:
     host, _, port = relay.address.rpartition(":")
     return RelayAddress(relay.name, relay.region, host, int(port))
--- a/tests/test_feed_broker.py
+++ b/tests/test_feed_broker.py
@@ -11,12 +11,12 @@
 import msgspec
 import pytest
 
-from badgerbend import generation
+from badgerbend import api, generation
 from badgerbend.broker import Broker
+from badgerbend.change_check import check_change
 from badgerbend.config.feed import Feed, RelayAt
 from badgerbend.config.fleet import Site, Sites
 from badgerbend.config.settings import Snapshot
-from badgerbend.configuration_check import check_configuration
 from badgerbend.feed.log import Retention
 from badgerbend.feed.relay import Relay, RelayTuning
 from badgerbend.feeding import WAITS, read_public_key
@@ -50,13 +50,14 @@
 
 
 class FeedStage(Stage):
-    """A world, and a broker that follows a relay's feed."""
+    """A world, and a broker that follows a relay's feed. listed: the feed brings the list of servers too."""
 
-    def __init__(self, tmp_path, **changes):
-        super().__init__(**changes)
+    def __init__(self, tmp_path, listed=False, retention=Retention(), **changes):  # noqa: B008 - frozen
+        super().__init__(broker=self._broker, **changes)
+        self.listed = listed
         self.key_file = tmp_path / "feed.pub"
         self.key_file.write_text(SIGNER.public_key().hex() + "\n")
-        self.control = Control(Retention(), check=check_configuration)
+        self.control = Control(retention, check=check_change)
         self.control.grant()
         self.relay = Relay("relay-1", self.control.machine.log, RelayTuning())
 
@@ -64,7 +65,7 @@
         self.relay_server = RelayServer(self.relay)
         port = await self.relay_server.start("127.0.0.1", 0)
         address = RelayAt("relay-1", "north", f"127.0.0.1:{port}")
-        self.changes["feed"] = Feed(str(self.key_file), "north", (address,))
+        self.changes["feed"] = Feed(str(self.key_file), "north", (address,), list=self.listed)
         await super().__aenter__()
         await until(lambda: self.relay.summary().followers)
         return self
@@ -73,13 +74,28 @@
         await super().__aexit__(*error)
         await self.relay_server.stop()
 
+    def _broker(self, settings, graph):
+        """Made once the world stands: its servers are published before the broker begins to follow."""
+        if self.listed:
+            self.publish_changes(*[change(f"node/{name}", self.row(name)) for name in self.world.registry.entries])
+        return Broker(settings, graph)
+
+    def row(self, name, **fields):
+        """A server's row in the feed."""
+        listed = self.world.registry.entries[name]
+        stands = {"address": f"127.0.0.1:{listed.port}", "cell": listed.cell, "zone": listed.zone}
+        return msgspec.json.encode({**stands, "started": listed.started, **fields}).decode()
+
     @property
     def generations(self):
         return self.broker.generations
 
     def publish(self, text):
         """Publishes a configuration; its revision."""
-        assert self.control.publish(self.relay_server.clock(), change(KEY, text)) == ()
+        return self.publish_changes(change(KEY, text))
+
+    def publish_changes(self, *changes):
+        assert self.control.publish(self.relay_server.clock(), *changes) == ()
         self.relay_server.published()
         return self.control.machine.log.revision
 
@@ -359,6 +375,80 @@
     run(main)
 
 
+def states_of(broker):
+    """The state of each server on the broker's list, by name."""
+    return {name: known.line.state for name, known in broker.directory.known.items()}
+
+
+def test_the_list_comes_from_the_feed_in_place_of_consul(tmp_path):
+    async def main():
+        async with FeedStage(tmp_path, listed=True) as s:
+            assert len(states_of(s.broker)) == 12 and (await fetch_ready(s)) == 200
+            for block in range(24):
+                status, answer, _ = await s.client.query(f"{{ fullQuote(blocks: [{block}], amount: 5) {{ id }} }}")
+                assert status == 200 and len(answer["data"]["fullQuote"]) == 4
+            drained, removed = list(s.world.servers)[:2]
+            s.publish_changes(change(f"node/{drained}", s.row(drained, state="draining")))
+            await until(lambda: states_of(s.broker)[drained] == api.NodeState.DRAINING)
+            s.publish_changes(change(f"node/{removed}", None))
+            await until(lambda: removed not in states_of(s.broker))
+            module = s.generations.newest.driver.module
+            await until(lambda: sum(n.ready for n in module.nodes.values()) == 10)
+            s.records.clear()
+            await s.in_force(with_deadline(2900))  # a new generation begins with the feed's list
+            for block in range(24):
+                assert (await s.client.query(f"{{ fullQuote(blocks: [{block}], amount: 5) {{ id }} }}"))[0] == 200
+            assert not {r["server"] for r in s.seen("arrive")} & {drained, removed}
+            assert not s.seen("told")  # Consul's stand-in was never asked
+            s.relay_server.confirmed(s.relay_server.clock())
+            await until(lambda: s.broker.feeding.age_s < 60.0)  # with the relay's next heartbeat
+            s.broker._gauges()
+            assert s.broker.metrics.list_age._value.get() < 60.0
+
+    run(main)
+
+
+async def fetch_ready(stage):
+    reader, writer = await asyncio.open_connection("127.0.0.1", stage.port)
+    writer.write(b"GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+    head = await reader.readline()
+    writer.close()
+    return int(head.split()[1])
+
+
+def test_a_drain_published_while_a_snapshot_of_earlier_content_is_on_its_way_wins(tmp_path):
+    async def main():
+        slow = RelayTuning(snapshot_bytes_per_second=32 * 1024, snapshot_burst=1)
+        async with FeedStage(tmp_path, listed=True, retention=Retention(publications=1)) as s:
+            drained = next(iter(s.world.servers))
+            others = [change(f"node/x{i}", s.row(drained, zone=200, cell=i % 12, kind=i)) for i in range(3000)]
+            s.publish_changes(*others)
+            relay = Relay("relay-2", s.control.machine.log, slow)
+            server = RelayServer(relay)
+            port = await server.start("127.0.0.1", 0)
+            feed = Feed(str(s.key_file), "north", (RelayAt("relay-2", "north", f"127.0.0.1:{port}"),), list=True)
+            graph = s.broker.front.subgraph
+            other = Broker(msgspec.structs.replace(s.settings, feed=feed), graph)
+            try:
+                await other.start()
+                await until(lambda: relay.snapshots_begun)
+                assert not other.directory.known
+                s.publish_changes(change(f"node/{drained}", s.row(drained, state="draining")))
+                server.published()
+                await until(lambda: other.directory.known)
+                await until(lambda: other.feeding.client.follower.in_force == s.control.machine.log.revision)
+                await until(lambda: states_of(other)[drained] == api.NodeState.DRAINING)
+                number = other.directory.known[drained].line.node
+                module = other.driver.module
+                await until(lambda: sum(n.ready for n in module.nodes.values()) == len(states_of(other)) - 1)
+                assert number not in module.nodes or not module.nodes[number].ready
+            finally:
+                await other.stop()
+                await server.stop()
+
+    run(main)
+
+
 def test_a_public_key_is_read_or_refused(tmp_path):
     file = tmp_path / "key"
     file.write_text(SIGNER.public_key().hex() + "\n")
@@ -391,7 +481,7 @@
     command = [sys.executable, "-c", code, str(EXAMPLE)]
     loaded = subprocess.run(command, capture_output=True, text=True, check=True).stdout.split()
     assert "badgerbend.broker" in loaded and "badgerbend.generation" in loaded
-    feeds = ("badgerbend.feed", "badgerbend.feednet", "badgerbend.feeding", "badgerbend.configuration_check")
+    feeds = ("badgerbend.feed", "badgerbend.feednet", "badgerbend.feeding", "badgerbend.change_check")
     assert not [name for name in loaded if name.startswith(feeds)]
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -67,7 +67,7 @@
 
 
 FEED = """
-  (feed (public-key "feed.pub") (region north) (configuration "configuration/brokers")
+  (feed (public-key "feed.pub") (region north) (configuration "configuration/brokers") (list true)
     (relay one (region north) (address "127.0.0.1:7970"))
     (relay two (region south) (address "127.0.0.1:7971"))))
 """
@@ -80,6 +80,7 @@
     assert got.configuration == "configuration/brokers" and [r.name for r in got.relay] == ["one", "two"]
     without = WITH_FEED.replace('(configuration "configuration/brokers")', "")
     assert reading.parse(without, "x.conf").feed.configuration == "configuration/broker"
+    assert got.list and not reading.parse(WITH_FEED.replace("(list true)", ""), "x.conf").feed.list
     shown = decode.show(reading.parse(WITH_FEED, "x.conf"))
     assert reading.parse(f"(broker\n{shown}\n)", "shown").feed == got
 
@@ -90,6 +91,7 @@
         ("(public-key", "@(public-kay", "broker > feed > public-kay: unknown key; did you mean public-key?"),
         ('(feed (public-key "feed.pub")', "@(feed", "broker > feed: public-key is missing"),
         ('(feed (public-key "feed.pub") (region north)', '@(feed (public-key "f")', "broker > feed: region is missing"),
+        ("(list true)", "(list @yes)", "broker > feed > list: expected true or false, found yes"),
         ('"configuration/brokers"', "@7", "broker > feed > configuration: expected a text"),
         ('(feed (public-key "feed.pub") (region north) (configuration "configuration/brokers")',
          '@(feed (public-key "feed.pub") (region north) (configuration "brokers")', "is not configuration/NAME"),
