Settings: a number of thousands of digits is an error with its place

Cause: Python refuses to convert whole numbers of more than 4300 digits with a ValueError, which went through the reader as it was; as a published configuration it would have broken off the publisher's submit and a follower's install. Change: a number longer than 400 characters is a SettingsError with line and column.

--- a/badgerbend/config/sexpr.py
+++ b/badgerbend/config/sexpr.py
@@ -21,6 +21,7 @@
 """
 MOST_BYTES = 4 << 20
 MOST_DEPTH = 64
+MOST_DIGITS = 400  # characters of a number; Python refuses to convert whole numbers of some thousands
 
 
 class SettingsError(Exception):
@@ -121,5 +122,7 @@
         return "".join(out)
     if token.type == "NUMBER":
         text = str(token)
+        if len(text) > MOST_DIGITS:
+            raise SettingsError(file, line, column, "", f"a number longer than {MOST_DIGITS} characters")
         return int(text) if text.lstrip("+-").isdigit() else float(text)
     return Symbol(str(token))
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -25,6 +25,7 @@
          f"{KEY}:5:45: broker > class compare > deadline-ms: expected a number > 0, found soon"),
         ("(need 0.75)", "(need 1.5)", f"{KEY}:5:57: broker > class compare > need: expected a number > 0 and <= 1"),
         ("(cells 12)", "(cells 3)", f"{KEY}:4:3: broker > layout: reach 4 must not exceed cells 3"),
+        ("(cells 12)", f"(cells {'9' * 5000})", f"{KEY}:4:30: a number longer than 400 characters"),
         ("(rank-by monthly)))", "(rank-by monthly))", f"{KEY}:7:1: the file ends inside a list"),
     ],
 )  # fmt: skip
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -38,6 +38,7 @@
         ("(need 0.75)", "(effect @often)", "expected one of safe, keyed, unsafe"),
         ("(need 0.75)", "(need @1e999)", "a number too large"),
         ("(need 0.75)", "(need @(a b))", "found a list"),
+        ("(cells 12)", f"(cells @{'9' * 5000})", "a number longer than 400 characters"),
         ("(need 0.75)", "@(need 0.1 0.2)", "expected one value, found 2"),
         ("(need 0.75)", "@need", "expected (key value ...)"),
         ("(rank-by monthly)))\n", "(rank-by monthly))\n@", "the file ends inside a list"),
