--- a/badgerbend/feed/follower.py
+++ b/badgerbend/feed/follower.py
@@ -55,7 +55,7 @@
     silence: float = 4.0  # without a word from the relay, beside four heartbeats
     distrust: float = 60.0  # a relay that sent what cannot be used is left out so long
     behind_most: float = 30.0  # a relay may announce a revision so long before it sends something towards it
-    stale: float = 5.0  # a relay that knows nothing so recent is left for another
+    stale: float = 5.0  # a relay that has known nothing new for so long is left for another
     stale_again: float = 30.0  # and tried again after so long
     home_after: float = 120.0  # connected to another region, it tries its own again after this
     status_every: float = 1.0  # at most so often is a changed status sent
@@ -139,6 +139,7 @@
         self._damaged = False  # its own replica is not what the publisher signed
         self._assembly: SnapshotAssembly | None = None
         self._as_of = -math.inf  # the latest time at which nothing newer than what it holds was agreed on
+        self._relay_as_of = -math.inf  # the same of the relay, or when it was connected
         self._behind_since = math.inf  # since when the relay has announced more than it has sent
         self._deadline = math.inf  # of the phase
         self._home_at = math.inf
@@ -162,6 +163,7 @@
             return
         self.phase = Phase.STREAMING
         self._heard(now)
+        self._relay_as_of = now
         self._home_at = now + self.tuning.home_after if self._abroad() else math.inf
         digest = self.log.content.digest()
         self._damaged = self._damaged or digest != self.log.checkpoint.content
@@ -315,8 +317,10 @@
     # -- what relays say
     def _heartbeat(self, now: float, message: Heartbeat) -> None:
         """Its age counts only for a replica that holds what the relay holds."""
-        if not message.waiting and message.age_ms > self.tuning.stale * 1000.0 and self._leave_stale(now):
-            return
+        if not message.waiting:
+            self._relay_as_of = max(self._relay_as_of, now - message.age_ms / 1000.0)
+            if now - self._relay_as_of > self.tuning.stale and self._leave_stale(now):
+                return
         if self.log.revision >= message.revision:
             self._failures = 0
             self._behind_since = math.inf
