Control machines of the feed: votes, the lease, publisher and relay in one process

Cause: the scale test and the hard cases had one log without agreement; what joins a voter, its lease on publishing, the publisher and the relay stood in the simulation alone.

Change: feed/control.py (pure) joins them, and the simulation drives it in place of its own copy; feednet/control.py puts it on sockets (sealed datagrams for votes, leases, proposals and summaries, TCP for followers), with the voter's store of ledger/. Parts of a publication may come to the leader in any order and more than once, as datagrams do: they were lost as a whole when two changed places. rota's Ballot takes a machine of its owner's.

--- a/badgerbend/feed/commands.py
+++ b/badgerbend/feed/commands.py
@@ -1,4 +1,7 @@
-"""Commands of the agreed log that publish: a publication in parts, since an entry of the log is small."""
+"""Commands of the agreed log that publish: a publication in parts, since an entry of the log is small.
+
+Parts may reach the log's leader in any order and more than once, as datagrams do.
+"""
 
 from __future__ import annotations
 
@@ -7,19 +10,22 @@
 import msgspec
 
 from badgerbend.consensus.messages import MOST_COMMAND
+from badgerbend.feed.content import hashed
 from badgerbend.feed.errors import Malformed, TooLarge
 from badgerbend.feed.messages import MOST_CHANGES, Number, Publication
 
 PART_BYTES = MOST_COMMAND - 60  # of a publication's bytes in one entry: the rest is the command's head
 MOST_PARTS = 400
+WHOLE_BYTES = 8  # of the hash that tells two publications of one revision apart
 MOST_PUBLICATION = PART_BYTES * MOST_PARTS  # bytes of an encoded publication
 
 
 class PublishPart(msgspec.Struct, array_like=True, frozen=True, tag="publish"):
-    """One part of a publication. It takes effect with the last of `parts`, if all came in their order."""
+    """One part of a publication, which takes effect once all of its parts are there. whole: tells it from others."""
 
     epoch: Number
     revision: Number
+    whole: Annotated[bytes, msgspec.Meta(min_length=WHOLE_BYTES, max_length=WHOLE_BYTES)]
     part: Annotated[int, msgspec.Meta(ge=0, lt=MOST_PARTS)]
     parts: Annotated[int, msgspec.Meta(ge=1, le=MOST_PARTS)]
     data: Annotated[bytes, msgspec.Meta(max_length=PART_BYTES)]
@@ -36,9 +42,9 @@
     if len(data) > MOST_PUBLICATION or len(publication.changes) > MOST_CHANGES:
         raise TooLarge(f"a publication of {len(data)} bytes; {MOST_PUBLICATION} at most")
     pieces = [data[at : at + PART_BYTES] for at in range(0, len(data), PART_BYTES)]
-    checkpoint = publication.checkpoint
+    checkpoint, whole = publication.checkpoint, hashed(data)[:WHOLE_BYTES]
     return [
-        _encoder.encode(PublishPart(checkpoint.epoch, checkpoint.revision, place, len(pieces), piece))
+        _encoder.encode(PublishPart(checkpoint.epoch, checkpoint.revision, whole, place, len(pieces), piece))
         for place, piece in enumerate(pieces)
     ]
 
--- /dev/null
+++ b/badgerbend/feed/control.py
@@ -0,0 +1,150 @@
+"""One control machine's part in publishing: voter, lease, publisher and relay joined. Pure.
+
+Each control machine has a vote, a relay of its own replica of the agreed log, and a publisher that works only while it
+holds the lease on publishing. The parts' own calls stay their owner's; after each of them it calls `settle`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from badgerbend.duties.holder import Holder
+from badgerbend.duties.voter import Voter
+from badgerbend.feed.machine import PUBLISH, FeedMachine
+from badgerbend.feed.messages import Change, Summary, encode
+from badgerbend.feed.publisher import Publisher
+from badgerbend.feed.relay import Relay
+
+MOST_SUMMARY = 1200  # bytes: within one datagram, with its seal and head
+
+
+@dataclass(frozen=True, slots=True)
+class ControlTuning:
+    """Times in seconds. confirm: how often a leader has its lead confirmed, which ages rest on."""
+
+    confirm: float = 0.5
+    summary: float = 1.0
+
+
+# -- what a control machine wants done, in this order
+
+
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """A command for the agreed log, to be sent to its leader."""
+
+    leader: str
+    command: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """The relay's summary, for the machine that publishes."""
+
+    publisher: str
+    summary: Summary
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The lease is over, and these changes are not known to be published."""
+
+    changes: tuple[Change, ...]
+
+
+Action = Propose | Report | Abandoned
+
+
+class ControlNode:
+    """`take` what it wants done after each call."""
+
+    def __init__(
+        self,
+        voter: Voter,
+        holder: Holder,
+        machine: FeedMachine,
+        publisher: Publisher,
+        relay: Relay,
+        now: float,
+        tuning: ControlTuning = ControlTuning(),  # noqa: B008 - frozen
+    ) -> None:
+        self.name = voter.name
+        self.voter, self.holder, self.machine = voter, holder, machine
+        self.publisher, self.relay, self.tuning = publisher, relay, tuning
+        self.grown = True  # the log has changed since the publisher and the relay were told
+        self._confirm_at = self._summary_at = now
+        self._actions: list[Action] = []
+        machine.on_change = self._changed
+
+    def settle(self, now: float) -> bool:
+        """After each call of a part: the others learn of what it led to. Whether the log has changed."""
+        grown, self.grown = self.grown, False
+        if grown:
+            self.relay.published(now)
+            self.publisher.published(now)
+        self.relay.confirmed(now, self.voter.confirmed_at)
+        self._follow_lease(now)
+        self._propose()
+        return grown
+
+    def tick(self, now: float) -> None:
+        """What is due by now, beside the parts' own."""
+        if now >= self._confirm_at:
+            self._confirm_at = now + self.tuning.confirm
+            self.voter.confirm(now)
+        if now >= self._summary_at:
+            self._summary_at = now + self.tuning.summary
+            self._report(now)
+        if now >= self.publisher.next_at:
+            self.publisher.tick(now)
+
+    @property
+    def next_at(self) -> float:
+        """When `tick` has something to do."""
+        return min(self._confirm_at, self._summary_at, self.publisher.next_at)
+
+    def take(self) -> list[Action]:
+        """What is to be done, in this order, since the last call."""
+        actions, self._actions = self._actions, []
+        return actions
+
+    # -- inside
+    def _changed(self) -> None:
+        self.grown = True
+
+    def _follow_lease(self, now: float) -> None:
+        """Publishes under the lease's epoch alone, and once the own replica has seen the grant: it then holds all that
+        was published before."""
+        epoch = self.holder.may_act(now, PUBLISH)
+        if self.publisher.epoch and self.publisher.epoch != epoch:
+            abandoned = self.publisher.rest()
+            if abandoned:
+                self._actions.append(Abandoned(abandoned))
+        lease = self.machine.table.lease(PUBLISH)
+        granted = epoch is not None and (lease.holder, lease.epoch) == (self.name, epoch)
+        if granted and not self.publisher.epoch:
+            self.publisher.lead(now, lease.epoch)
+
+    def _propose(self) -> None:
+        """To the leader, as far as it is known; what is lost is proposed again by the publisher."""
+        leader = self.voter.raft.leader or self.holder.leader
+        if self.voter.leads:
+            leader = self.name
+        self._actions += [Propose(leader, command) for command in self.publisher.take() if leader]
+
+    def _report(self, now: float) -> None:
+        lease = self.machine.table.lease(PUBLISH)
+        summary = fitted(self.relay.summary())
+        if lease.holder == self.name:
+            self.publisher.heard(now, summary)
+        elif lease.holder:
+            self._actions.append(Report(lease.holder, summary))
+
+
+def fitted(summary: Summary) -> Summary:
+    """The summary with as many of its laggards as a datagram holds, the furthest behind first."""
+    while summary.laggards and len(encode(summary)) > MOST_SUMMARY:
+        summary = msgspec.structs.replace(summary, laggards=summary.laggards[:-1])
+    return summary
--- a/badgerbend/feed/machine.py
+++ b/badgerbend/feed/machine.py
@@ -26,7 +26,8 @@
     entries: list[tuple[str, bytes]]
     pending_epoch: int
     pending_revision: int
-    pending: list[bytes]
+    pending_whole: bytes
+    pending: list[tuple[int, bytes]]
 
 
 class FeedMachine:
@@ -37,8 +38,8 @@
         self.log = PublicationLog(retention)
         self.on_change = on_change
         self.last_error: FeedError | None = None  # why the last publication that did not stand did not
-        self._pending_of = (0, 0)  # epoch and revision of the publication whose parts are coming
-        self._pending: list[bytes] = []
+        self._pending_of = (0, 0, b"")  # epoch, revision and hash of the publication whose parts are coming
+        self._pending: dict[int, bytes] = {}
 
     def apply(self, index: int, data: bytes) -> None:
         """A command of the log."""
@@ -54,14 +55,15 @@
         return bool(lease.holder) and lease.epoch == epoch
 
     def dump(self) -> bytes:
-        epoch, revision = self._pending_of
+        epoch, revision, whole = self._pending_of
         state = _Dump(
             self.table.dump(),
             self.log.checkpoint,
             sorted(self.log.content.items()),
             epoch,
             revision,
-            self._pending,
+            whole,
+            sorted(self._pending.items()),
         )
         return msgspec.msgpack.encode(state)
 
@@ -72,20 +74,19 @@
         content.apply(Change(key, value) for key, value in found.entries)
         self.table.load(found.table)
         self.log.reset(content, found.checkpoint)
-        self._pending_of, self._pending = (found.pending_epoch, found.pending_revision), found.pending
+        self._pending_of = (found.pending_epoch, found.pending_revision, found.pending_whole)
+        self._pending = dict(found.pending)
         self.on_change()
 
     def _add(self, part: PublishPart) -> None:
-        """Puts parts together; one out of its order starts nothing and ends what had begun."""
-        which = (part.epoch, part.revision)
-        if part.part == 0:
-            self._pending_of, self._pending = which, []
-        if which != self._pending_of or part.part != len(self._pending):
-            self._pending = []
-            return
-        self._pending.append(part.data)
+        """Puts parts together, in whatever order they come; those of another publication end what had begun."""
+        which = (part.epoch, part.revision, part.whole)
+        if which != self._pending_of:
+            self._pending_of, self._pending = which, {}
+        self._pending[part.part] = part.data
         if len(self._pending) == part.parts:
-            data, self._pending = b"".join(self._pending), []
+            data = b"".join(piece for _, piece in sorted(self._pending.items()))
+            self._pending = {}
             self._publish(part, data)
 
     def _publish(self, part: PublishPart, data: bytes) -> None:
--- /dev/null
+++ b/badgerbend/feednet/control.py
@@ -0,0 +1,232 @@
+"""A control machine on sockets: vote and lease over sealed datagrams, a relay over TCP. `feed.control` decides."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from badgerbend.consensus import messages as voting
+from badgerbend.consensus.types import Tuning
+from badgerbend.duties.holder import Holder, Terms
+from badgerbend.duties.messages import Leave, Told, Want
+from badgerbend.feed.control import Abandoned, Action, ControlNode, ControlTuning, Propose, Report
+from badgerbend.feed.log import Retention
+from badgerbend.feed.machine import PUBLISH, FeedMachine
+from badgerbend.feed.messages import Change, Summary
+from badgerbend.feed.publisher import Check, Problem, Progress, Publisher, PublisherTuning
+from badgerbend.feed.relay import Relay, RelayTuning
+from badgerbend.feed.signature import Signer
+from badgerbend.feednet import control_wire
+from badgerbend.feednet.control_wire import Proposal
+from badgerbend.feednet.relay import RelayServer
+from badgerbend.feednet.timer import Clock, WakeUp, monotonic
+from badgerbend.net.seal import Seal
+from badgerbend.net.udp import Address, SealedSocket, address_text
+from badgerbend.rota import wire
+from badgerbend.rota.voting import Ballot
+
+MOST_TURNS = 64  # in which the parts of one machine answer each other at once
+
+
+class NotPublishing(Exception):
+    """Another machine holds the lease on publishing, or nobody does for now."""
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """One control machine. voters: all of them by name; keys: the fleet's, for datagrams."""
+
+    name: str
+    store: Path
+    voters: dict[str, Address]
+    relay: Address
+    keys: tuple[bytes, ...]
+    retention: Retention = Retention()
+    voting: Tuning = Tuning()
+    terms: Terms = Terms()
+    publishing: PublisherTuning = PublisherTuning()
+    relaying: RelayTuning = RelayTuning()
+    control: ControlTuning = field(default_factory=ControlTuning)
+
+
+class ControlServer(SealedSocket):
+    """Built and used on one running loop. Raises BadStore or OSError where it cannot start."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        signer: Signer,
+        check: Check,
+        note: Callable[..., None],
+        clock: Clock = monotonic,
+    ) -> None:
+        life = int(time.time() * 1000)
+        super().__init__(Seal(settings.keys, life))
+        self.settings, self.note, self.clock = settings, note, clock
+        self.own = settings.voters[settings.name]
+        now, seed = clock(), life << 8
+        machine = FeedMachine(settings.retention)
+        self.ballot = Ballot(
+            settings.store, settings.voting, settings.terms, seed + 1, clock, self._to_voter, self._to_candidate,
+            note, self._after, machine,
+        )  # fmt: skip
+        self.holder = Holder(
+            settings.name,
+            address_text(self.own),
+            {PUBLISH: True},
+            tuple(settings.voters),
+            settings.terms,
+            seed + 2,
+            now,
+        )
+        self.relay = Relay(settings.name, machine.log, settings.relaying)
+        self.publisher = Publisher(machine.log, check, signer, settings.publishing)
+        self.node = ControlNode(
+            self.ballot.voter, self.holder, machine, self.publisher, self.relay, now, settings.control
+        )
+        self.server = RelayServer(self.relay, clock)
+        self._wake_up = WakeUp(clock, self._tick)
+        self._closed = False
+
+    async def start(self) -> int:
+        """Binds both sockets; returns the relay's port."""
+        await self.open(*self.own)
+        port = await self.server.start(*self.settings.relay)
+        self._after()
+        return port
+
+    async def close(self) -> None:
+        """Gives the lease back, lets another lead, and ends."""
+        self.holder.leave(self.clock())
+        self._after()
+        self.ballot.hand_over()
+        self._closed = True
+        self._wake_up.cancel()
+        self.ballot.close()
+        await self.server.stop()
+        self.shut()
+
+    # -- publishing
+    @property
+    def publishes(self) -> bool:
+        """Whether this machine holds the lease on publishing now."""
+        return bool(self.publisher.epoch)
+
+    def submit(self, changes: Iterable[Change]) -> tuple[Problem, ...]:
+        """Takes all of these changes for publication, or none of them and says why. Raises NotPublishing."""
+        if not self.publishes:
+            raise NotPublishing(f"{self.holder.duties[PUBLISH].holder or 'nobody'} publishes")
+        problems = self.publisher.submit(self.clock(), changes)
+        self._after()
+        return problems
+
+    def progress(self, revision: int) -> Progress:
+        """Who has this revision in force, as far as relays have reported."""
+        return self.publisher.progress(self.clock(), revision)
+
+    # -- datagrams
+    def body(self, body: bytes, source: Address) -> None:
+        if self._closed:
+            return
+        try:
+            message = control_wire.read(body)
+        except control_wire.Malformed:
+            self.refused += 1
+            return
+        self._heard(message, source)
+        self._after()
+
+    def _heard(self, message: control_wire.Said, source: Address) -> None:
+        match message:
+            case Want() | Leave():
+                self.ballot.from_broker(message, source)
+            case Told():
+                self.holder.told(self.clock(), message)
+            case Proposal(command):
+                self._proposed(command)
+            case Summary():
+                self.publisher.heard(self.clock(), message)
+            case (
+                voting.AskVote()
+                | voting.Voted()
+                | voting.Feed()
+                | voting.Fed()
+                | voting.Install()
+                | voting.Installed()
+                | voting.Cede()
+            ):
+                self.ballot.from_voter(message)
+            case _:
+                self.refused += 1
+
+    def _proposed(self, command: bytes) -> None:
+        if self.ballot.broken is None:
+            self.ballot.voter.propose(self.clock(), command)
+            self.ballot.flush()
+
+    def _to_voter(self, name: str, message: voting.Message) -> None:
+        address = self.settings.voters.get(name)
+        if address is not None:
+            self.send(address, wire.voter_body(message))
+
+    def _to_candidate(self, address: Address, message: Told) -> None:
+        if address == self.own:
+            self.loop.call_soon(self._told_self, message)
+        else:
+            self.send(address, wire.broker_body(message))
+
+    def _told_self(self, message: Told) -> None:
+        if not self._closed:
+            self.holder.told(self.clock(), message)
+            self._after()
+
+    # -- time
+    def _tick(self) -> None:
+        now = self.clock()
+        if now >= self.holder.next_at:
+            self.holder.tick(now)
+        if now >= self.ballot.next_at:
+            self.ballot.tick()
+        self.node.tick(now)
+        self._after()
+
+    def _after(self) -> None:
+        """Carries out what the parts want, until they want nothing, and sets the clock for what comes next."""
+        if self._closed:
+            return
+        for _ in range(MOST_TURNS):
+            busy = self._ask_for_lease()
+            busy |= self.node.settle(self.clock())
+            for action in self.node.take():
+                busy = True
+                self._carry_out(action)
+            if not busy:
+                break
+        self.ballot.flush()
+        self.server.pump()
+        self._wake_up.set(min(self.holder.next_at, self.ballot.next_at, self.node.next_at))
+
+    def _ask_for_lease(self) -> bool:
+        """The holder's words to the voters, this machine's own among them."""
+        words = self.holder.take()
+        for name, message in words:
+            if name == self.settings.name:
+                self.ballot.from_broker(message, self.own)
+            else:
+                self.send(self.settings.voters[name], wire.broker_body(message))
+        return bool(words)
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Propose(leader, command):
+                if leader == self.settings.name:
+                    self._proposed(command)
+                elif leader in self.settings.voters:
+                    self.send(self.settings.voters[leader], control_wire.proposal_body(command))
+            case Report(publisher, summary):
+                if publisher in self.settings.voters:
+                    self.send(self.settings.voters[publisher], control_wire.summary_body(summary))
+            case Abandoned(changes):
+                self.note("changes not published", changes=len(changes))
--- /dev/null
+++ b/badgerbend/feednet/control_wire.py
@@ -0,0 +1,50 @@
+"""Datagrams between control machines: a letter that says whose one is, then the message."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from badgerbend.feed.errors import Malformed as MalformedSummary
+from badgerbend.feed.messages import Summary, decode, encode
+from badgerbend.rota import wire
+
+PROPOSAL, SUMMARY = b"p", b"u"
+Malformed = wire.Malformed
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A command for the agreed log, from the publisher to the leader."""
+
+    command: bytes
+
+
+Said = wire.Said | Proposal | Summary
+
+
+def proposal_body(command: bytes) -> bytes:
+    return PROPOSAL + command
+
+
+def summary_body(summary: Summary) -> bytes:
+    return SUMMARY + encode(summary)
+
+
+def read(body: bytes) -> Said:
+    """Raises Malformed."""
+    match body[:1]:
+        case b"p":
+            return Proposal(body[1:])
+        case b"u":
+            return _summary(body[1:])
+    return wire.read(body)
+
+
+def _summary(data: bytes) -> Summary:
+    try:
+        message = decode(data)
+    except MalformedSummary as error:
+        raise Malformed(str(error)) from error
+    if not isinstance(message, Summary):
+        raise Malformed(f"{type(message).__name__} where a summary was due")
+    return message
--- a/badgerbend/rota/voting.py
+++ b/badgerbend/rota/voting.py
@@ -11,7 +11,7 @@
 from badgerbend.consensus.types import Tuning
 from badgerbend.duties.holder import Terms
 from badgerbend.duties.messages import Leave, Told, Want
-from badgerbend.duties.voter import Voter
+from badgerbend.duties.voter import TableMachine, Voter
 from badgerbend.ledger.store import Store
 from badgerbend.ledger.writer import Writer
 from badgerbend.net.udp import Address
@@ -20,7 +20,10 @@
 
 
 class Ballot:
-    """Raises BadStore or OSError where its store cannot be used. send_voter, send_broker: the socket's."""
+    """Raises BadStore or OSError where its store cannot be used. send_voter, send_broker: the socket's.
+
+    machine: what the agreed log drives, a bare table of leases unless said otherwise.
+    """
 
     def __init__(
         self,
@@ -33,12 +36,13 @@
         send_broker: Callable[[Address, Told], None],
         note: Callable[..., None],
         changed: Callable[[], None],
+        machine: TableMachine | None = None,
     ) -> None:
         self.clock, self.note, self.changed = clock, note, changed
         self.send_voter, self.send_broker = send_voter, send_broker
         store = Store(folder)
         self.name = store.owner.name
-        self.voter = Voter(self.name, store.kept, tuning, terms, seed, clock())
+        self.voter = Voter(self.name, store.kept, tuning, terms, seed, clock(), machine)
         self.writer = Writer(store, asyncio.get_running_loop(), self._saved, self._failed)
         self.broken: str | None = None
         self.brokers: OrderedDict[str, Address] = OrderedDict()
--- a/tests/feed_judge.py
+++ b/tests/feed_judge.py
@@ -65,7 +65,7 @@
         self.values = set()  # keys and values that ever stood
         self._last = 0
         self._holder, self._epoch = "", 0
-        self._which, self._parts = None, []
+        self._which, self._parts = None, {}
 
     @property
     def newest(self):
@@ -93,18 +93,15 @@
         elif command[0] == "publish":
             self._part(now, *command[1:])
 
-    def _part(self, now, epoch, revision, part, parts, data):
+    def _part(self, now, epoch, revision, whole, part, parts, data):
         if not self._holder or epoch != self._epoch:
             return  # of a lease that is over
-        if part == 0:
-            self._which, self._parts = (epoch, revision), []
-        if self._which != (epoch, revision) or part != len(self._parts):
-            self._parts = []
-            return
-        self._parts.append(data)
+        if self._which != (epoch, revision, whole):
+            self._which, self._parts = (epoch, revision, whole), {}
+        self._parts[part] = data
         if len(self._parts) == parts:
-            whole, self._parts = b"".join(self._parts), []
-            self._publication(now, epoch, revision, whole)
+            text, self._parts = b"".join(self._parts[place] for place in range(parts)), {}
+            self._publication(now, epoch, revision, text)
 
     def _publication(self, now, epoch, revision, whole):
         try:
--- a/tests/feed_lines.py
+++ b/tests/feed_lines.py
@@ -29,7 +29,17 @@
     tuning: FollowerTuning = FollowerTuning()
 
 
-Setup = RelaySetup | FollowersSetup
+class ControlSetup(msgspec.Struct, frozen=True, tag=True):
+    """A control machine with a vote. voters: host and port by name; store: the folder of its records."""
+
+    name: str
+    region: str
+    store: str
+    voters: dict[str, tuple[str, int]]
+    tuning: RelayTuning = RelayTuning()
+
+
+Setup = RelaySetup | FollowersSetup | ControlSetup
 
 
 # -- test to process
@@ -113,6 +123,25 @@
     snapshot_bytes: int
 
 
+class Submitted(msgspec.Struct, frozen=True, tag=True):
+    """Whether a control machine took changes for publication: it does so while it holds the lease."""
+
+    taken: bool
+
+
+class ControlReport(msgspec.Struct, frozen=True, tag=True):
+    """How a control machine stands. in_force: followers with its revision, as far as relays have reported to it."""
+
+    leads: bool
+    publishes: bool
+    epoch: int
+    revision: int
+    digest: str
+    followers: int
+    in_force: int
+    age_s: float
+
+
 class FollowerState(msgspec.Struct, frozen=True):
     """publications: that came, used or not. age_s: `UNKNOWN_AGE_S` before the first word."""
 
@@ -128,7 +157,9 @@
     followers: tuple[FollowerState, ...]
 
 
-Event = Listening | Published | Installed | PieceCame | Refused | RelayReport | FollowersReport
+Event = (
+    Listening | Published | Installed | PieceCame | Refused | RelayReport | FollowersReport | Submitted | ControlReport
+)
 
 
 def encode_line(message: msgspec.Struct) -> bytes:
--- a/tests/feed_process.py
+++ b/tests/feed_process.py
@@ -6,19 +6,24 @@
 import asyncio
 import random
 import sys
+from pathlib import Path
 
 from badgerbend.feed.content import Content
 from badgerbend.feed.follower import Follower
 from badgerbend.feed.framing import FrameReader
 from badgerbend.feed.messages import Publication, SnapshotPiece
 from badgerbend.feed.relay import Phase, Relay, SendTo
+from badgerbend.feednet.control import ControlServer, ControlSettings, NotPublishing
 from badgerbend.feednet.follower import FollowerClient
 from badgerbend.feednet.relay import RelayServer
 from badgerbend.feednet.timer import monotonic
 from tests.feed_lines import (
     UNKNOWN_AGE_S,
+    ControlReport,
+    ControlSetup,
     Fill,
     FollowersReport,
+    FollowersSetup,
     FollowerState,
     Installed,
     Listening,
@@ -29,13 +34,15 @@
     RelayReport,
     RelaySetup,
     Report,
+    Submitted,
     decode_command,
     decode_setup,
     encode_line,
 )
-from tests.feed_stage import VERIFIER, Control, change
+from tests.feed_stage import SIGNER, VERIFIER, Control, change
 
 CONFIRM_EVERY_S = 0.05
+KEYS = (b"a key of control machines for tests",)
 
 
 def tell(event):
@@ -205,6 +212,61 @@
         )
 
 
+class ReportingControl(ControlServer):
+    """Tells of each revision that its replica comes to."""
+
+    told = 0
+
+    def _after(self):
+        super()._after()
+        log = self.relay.log
+        if log.revision > self.told:
+            self.told = log.revision
+            tell(Published(log.revision, log.checkpoint.content.hex()))
+
+
+class ControlProcess:
+    """A control machine: it votes, relays, and publishes while it holds the lease."""
+
+    def __init__(self, setup):
+        settings = ControlSettings(
+            setup.name, Path(setup.store), setup.voters, ("127.0.0.1", 0), KEYS, relaying=setup.tuning
+        )
+        self.server = ReportingControl(settings, SIGNER, lambda change: "", lambda what, **values: None)
+
+    async def start(self):
+        tell(Listening(await self.server.start()))
+
+    async def carry_out(self, command):
+        match command:
+            case Publish():
+                tell(Submitted(self._submit(command)))
+            case Report():
+                tell(self._report())
+
+    def _submit(self, command):
+        try:
+            problems = self.server.submit([change(key, value) for key, value in command.changes])
+        except NotPublishing:
+            return False
+        assert not problems, problems
+        return True
+
+    def _report(self):
+        server, log = self.server, self.server.relay.log
+        progress = server.progress(log.revision)
+        return ControlReport(
+            leads=server.ballot.voter.leads,
+            publishes=server.publishes,
+            epoch=log.epoch,
+            revision=log.revision,
+            digest=log.content.digest().hex(),
+            followers=progress.followers,
+            in_force=progress.in_force,
+            age_s=min(server.relay.age_s(monotonic()), UNKNOWN_AGE_S),
+        )
+
+
 class FollowersProcess:
     """Many followers that only follow."""
 
@@ -232,9 +294,12 @@
         return FollowerState(owner.name, relay, owner.revision, digest, client.publications, age)
 
 
+ROLES = {RelaySetup: RelayProcess, FollowersSetup: FollowersProcess, ControlSetup: ControlProcess}
+
+
 async def main(text):
     setup = decode_setup(text)
-    process = RelayProcess(setup) if isinstance(setup, RelaySetup) else FollowersProcess(setup)
+    process = ROLES[type(setup)](setup)
     await process.start()
     lines = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(lines), sys.stdin)
--- a/tests/feed_processes.py
+++ b/tests/feed_processes.py
@@ -9,6 +9,7 @@
 
 from badgerbend.feed.follower import RelayAddress
 from tests.feed_lines import (
+    ControlReport,
     FollowersReport,
     Installed,
     Listening,
@@ -72,7 +73,7 @@
 
     async def report(self):
         """How it stands now."""
-        kind = (RelayReport, FollowersReport)
+        kind = (RelayReport, FollowersReport, ControlReport)
         before = len(self.seen(kind))
         self.say(Report())
         return await self.next(kind, before)
--- a/tests/simfeed.py
+++ b/tests/simfeed.py
@@ -17,6 +17,7 @@
 from badgerbend.duties.holder import Holder, Terms
 from badgerbend.duties.voter import Voter
 from badgerbend.feed import snapshot
+from badgerbend.feed.control import Abandoned, ControlNode, ControlTuning, Propose, Report
 from badgerbend.feed.follower import (
     Connect,
     Disconnect,
@@ -110,6 +111,7 @@
     start_spread=0.3, retry_least=0.1, retry_most=1.5, connect_timeout=1.0, silence=2.0, distrust=4.0,
     behind_most=4.0, stale=2.0, stale_again=6.0, home_after=8.0, status_every=0.3, status_idle=1.5,
 )  # fmt: skip
+CONTROL = ControlTuning(confirm=0.4, summary=SUMMARY_S)
 RETENTION, EDGE_RETENTION = Retention(14, 12_000), Retention(8, 8_000)
 
 
@@ -129,10 +131,10 @@
     machine: object = None
     holder: object = None
     publisher: object = None
+    control: object = None
     relay: object = None
     follower: object = None
     log: object = None  # what the relay serves
-    grown: bool = False  # the machine's log has changed since the relay was told
     summary_at: float = 0.0
     liar: object = None
     age_bound_s: float = 0.0  # by how much its present age may be too low, as the world knows of its last word
@@ -155,7 +157,6 @@
         self.disks = {name: Disk(self.voters) for name in self.voters}
         self.hosts, self.streams, self.numbers = {}, {}, count(1)
         self.cuts = {}  # (name, other name): until when nothing gets through
-        self.proposals = {}  # (publisher, leader): when the last proposal arrives
         self.values = count()
         self.healed = False
         self.counts = {}
@@ -196,24 +197,25 @@
     def _boot(self, name):
         host = self.hosts[name]
         host.life += 1
-        host.running, host.stopped_until, host.tick_at, host.grown = True, 0.0, 0.0, True
+        host.running, host.stopped_until, host.tick_at = True, 0.0, 0.0
         host.age_bound_s = 0.0
-        host.follower = host.voter = host.relay = host.publisher = host.holder = host.machine = None
+        host.follower = host.voter = host.relay = host.publisher = host.holder = host.machine = host.control = None
         if name in self.voters:
             self._boot_control(host)
         else:
             self._boot_follower(host)
         if name in self.voters or name.startswith("e"):
             host.relay = self.kinds.relay(name, host.log, RELAY)
-        host.parts = [p for p in (host.voter, host.holder, host.publisher, host.relay, host.follower) if p is not None]
+        if host.voter is not None:
+            parts = (host.voter, host.holder, host.machine, host.publisher, host.relay)
+            host.control = ControlNode(*parts, host.local(), CONTROL)
+        parts = (host.voter, host.holder, host.control, host.relay, host.follower)
+        host.parts = [part for part in parts if part is not None]
         self.collect(host)
 
     def _boot_control(self, host):
-        def changed():
-            host.grown = True
-
         local, seed = host.local(), self.rng.getrandbits(32)
-        host.machine = self.kinds.machine(RETENTION, changed)
+        host.machine = self.kinds.machine(RETENTION)
         host.machine.apply = self._seen_by_judge(host.machine.apply)
         tuning = replace(TUNING, compact=self.chaos.compact)
         kept = self.disks[host.name].kept()
@@ -311,7 +313,6 @@
             self._collect_voter(host)
             if not host.running:
                 return
-            self._collect_publisher(host)
         if host.follower is not None:
             self._collect_follower(host)
         if host.relay is not None and host.running:
@@ -331,29 +332,23 @@
             self._datagram(host, to, self._told, saying.encode(told))
         for to, message in host.holder.take():
             self._datagram(host, to, self._from_holder, saying.encode(message))
-        if host.grown:
-            host.grown = False
-            if host.voter.leads and not self.healed and self.rng.random() < self.chaos.caught:
-                self._count("crash before fan-out")
-                self._crash(host.name, self.rng.random() * 3.0)
-                return
+        if host.control.grown and host.voter.leads and not self.healed and self.rng.random() < self.chaos.caught:
+            self._count("crash before fan-out")
+            self._crash(host.name, self.rng.random() * 3.0)
+            return
+        led = host.publisher.epoch
+        if host.control.settle(host.local()):
             self.judge.voter(host.name, host.life, host.machine.log)
-            host.relay.published(host.local())
-            host.publisher.published(host.local())
-        host.relay.confirmed(host.local(), host.voter.confirmed_at)
-
-    def _collect_publisher(self, host):
-        local, publisher = host.local(), host.publisher
-        epoch = host.holder.may_act(local, PUBLISH)
-        lease = host.machine.table.lease(PUBLISH)
-        known = epoch is not None and lease.epoch == epoch and lease.holder == host.name
-        if publisher.epoch and publisher.epoch != epoch:
-            self.judge.rested(host.name, publisher.rest())
-        if known and not publisher.epoch:
-            publisher.lead(local, epoch)
+        if host.publisher.epoch not in (0, led):
             self._count("lease")
-        for command in publisher.take():
-            self._propose(host, host.voter.raft.leader or host.holder.leader, command)
+        for action in host.control.take():
+            match action:
+                case Propose(leader, command):
+                    self._propose(host, leader, command)
+                case Report(publisher, summary):
+                    self._datagram(host, publisher, self._summary, summary)
+                case Abandoned(changes):
+                    self.judge.rested(host.name, changes)
 
     def _synced(self, host, life, seq, length):
         if host.life != life or not host.running:
@@ -408,7 +403,7 @@
                 case Close():
                     self._count("closed by relay")
                     stream.end(host, self.latency(host, stream.follower))
-        if self.now >= host.summary_at:
+        if host.control is None and self.now >= host.summary_at:
             host.summary_at = self.now + SUMMARY_S
             summary = host.relay.summary()
             for name in self.voters:
@@ -465,14 +460,11 @@
         self.at(delay, self._datagram_arrives, source, self.hosts[to], what, data)
 
     def _propose(self, source, to, command):
-        """Proposals keep their order, as the parts of a publication must; each may be lost, or late with all behind
-        it. One in a few is also delivered once more, much later: an old publisher's part after a new epoch."""
-        if to not in self.hosts or self.rng.random() < self.chaos.loss:
+        """Datagrams like others, whose order nobody keeps. One in a few is also delivered once more, much later: an old
+        publisher's part after a new epoch."""
+        if to not in self.hosts:
             return
-        late = self.rng.random() * self.chaos.late_s if self.rng.random() < self.chaos.late else 0.0
-        arrives_at = self.now + self.latency(source, self.hosts[to]) + late
-        arrives_at = self.proposals[source.name, to] = max(arrives_at, self.proposals.get((source.name, to), 0.0))
-        self.at(arrives_at - self.now, self._datagram_arrives, source, self.hosts[to], self._proposed, command)
+        self._datagram(source, to, self._proposed, command)
         if self.rng.random() < self.chaos.late:
             again_to = self.hosts[self.rng.choice(self.voters)]
             self.at(self.rng.random() * 6.0, self._datagram_arrives, source, again_to, self._proposed, command)
@@ -629,7 +621,6 @@
             if not host.running:
                 continue
             if host.voter is not None and self.now >= host.stopped_until:
-                host.voter.confirm(host.local())
                 self.collect(host)
             if host.follower is not None:
                 self._watch_age(host, host.follower)
--- /dev/null
+++ b/tests/test_feed_control.py
@@ -0,0 +1,211 @@
+"""Control machines as processes over loopback: votes, the lease on publishing, fan-out, and machines that fail."""
+
+import asyncio
+import socket
+
+from badgerbend.feed.follower import FollowerTuning
+from badgerbend.feed.relay import RelayTuning
+from badgerbend.ledger.store import create
+from tests.feed_lines import ControlSetup, FollowersSetup, Installed, Listening, Publish, Published, Submitted
+from tests.feed_processes import FeedProcess, FeedProcesses
+
+REGIONS = ("north", "south", "west")
+FOLLOWER = FollowerTuning(start_spread=0.0, retry_least=0.02, retry_most=0.2, status_every=0.1, status_idle=0.5)
+RELAY = RelayTuning(heartbeat=0.2)
+COUNT = 4  # followers of a region
+
+
+def free_ports(count):
+    """Ports of loopback that nobody has now."""
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+class Controls:
+    """Control machines of one test, one a region, and the followers of all regions."""
+
+    def __init__(self, processes, folder):
+        self.processes = processes
+        names = [f"control-{region}" for region in REGIONS]
+        voters = dict(zip(names, (("127.0.0.1", port) for port in free_ports(len(names))), strict=True))
+        for name in names:
+            create(folder / name, name, names)
+        self.setups = {
+            name: ControlSetup(name, region, str(folder / name), voters, RELAY)
+            for name, region in zip(names, REGIONS, strict=True)
+        }
+        self.running, self.relays, self.followers = {}, [], []
+        self.values = 0
+
+    async def start(self):
+        started = await asyncio.gather(*(self.processes.relay(setup) for setup in self.setups.values()))
+        for (process, address), name in zip(started, self.setups, strict=True):
+            self.running[name] = process
+            self.relays.append(address)
+        for region in REGIONS:
+            setup = FollowersSetup(COUNT, region, tuple(self.relays), FOLLOWER)
+            self.followers.append(await self.processes.followers(setup))
+
+    async def boot(self, name):
+        """Starts a machine again with what its disk holds, its relay at a new port that followers do not know."""
+        process = await FeedProcess.started(self.setups[name])
+        self.processes.processes.append(process)
+        await process.next(Listening, 0)
+        self.running[name] = process
+
+    def kill(self, name):
+        self.running.pop(name).kill()
+
+    async def publisher(self):
+        """The machine that publishes, once there is one, and its report."""
+        async with asyncio.timeout(60):
+            while True:
+                for name, process in list(self.running.items()):
+                    report = await process.report()
+                    if report.publishes:
+                        return name, report
+                await asyncio.sleep(0.05)
+
+    async def submit(self, name):
+        """Whether a machine took a change of a row, with a value that no other change has."""
+        process = self.running[name]
+        before = len(process.seen(Submitted))
+        self.values += 1
+        process.say(Publish(((f"node/{self.values % 5}", f"ready {self.values}"),)))
+        return (await process.next(Submitted, before)).taken
+
+    async def publish(self, count):
+        """Has so many changes published one after the other; the revision that holds the last."""
+        for _ in range(count):
+            async with asyncio.timeout(60):
+                while True:
+                    name, report = await self.publisher()
+                    if await self.submit(name):
+                        break
+            process = self.running[name]
+            await process.until(lambda process, old=report.revision: newest_of(process) > old)
+        return newest_of(process)
+
+    async def all_reach(self, revision):
+        """Waits until all machines that run and all followers hold a revision."""
+        await asyncio.gather(
+            *(process.until(lambda process: newest_of(process) >= revision) for process in self.running.values()),
+            *(process.until(lambda process: followers_at(process, revision)) for process in self.followers),
+        )
+
+    def assert_agreed(self):
+        """No two processes ever had different content at one revision, and no follower's revision went back."""
+        digests = {}
+        for process in self.processes.processes:
+            for event in [*process.seen(Published), *process.seen(Installed)]:
+                assert digests.setdefault(event.revision, event.digest) == event.digest, event
+        for process in self.followers:
+            last = {}
+            for event in process.seen(Installed):
+                assert event.revision > last.get(event.follower, 0), event
+                last[event.follower] = event.revision
+
+
+def newest_of(process):
+    return max((event.revision for event in process.seen(Published)), default=0)
+
+
+def followers_at(process, revision):
+    newest = {event.follower: event.revision for event in process.seen(Installed)}
+    return len(newest) == COUNT and min(newest.values()) >= revision
+
+
+def scene(folder, what):
+    async def run():
+        async with FeedProcesses() as processes:
+            controls = Controls(processes, folder)
+            await controls.start()
+            await what(controls)
+            controls.assert_agreed()
+
+    asyncio.run(run())
+
+
+def test_what_is_published_is_in_force_in_all_regions_and_the_publisher_knows(tmp_path):
+    async def what(controls):
+        newest = await controls.publish(20)
+        await controls.all_reach(newest)
+        name, report = await controls.publisher()
+        assert report.epoch > 0 and report.revision == newest
+        everyone = COUNT * len(REGIONS)
+        await controls.running[name].report_where(lambda report: report.followers == report.in_force == everyone)
+        others = [other for other in controls.running if other != name]
+        assert [await controls.submit(other) for other in others] == [False, False]
+
+    scene(tmp_path, what)
+
+
+def test_another_publishes_after_the_publisher_is_killed_and_it_catches_up_when_it_is_back(tmp_path):
+    async def what(controls):
+        await controls.all_reach(await controls.publish(5))
+        first, before = await controls.publisher()
+        assert await controls.submit(first)  # on its way as the process dies: agreed on or not, but by all alike
+        controls.kill(first)
+        newest = await controls.publish(5)
+        second, after = await controls.publisher()
+        assert second != first and after.epoch > before.epoch
+        await controls.all_reach(newest)
+        await controls.boot(first)
+        newest = await controls.publish(3)
+        await controls.all_reach(newest)
+        report = await controls.running[first].report()
+        assert report.digest == (await controls.running[second].report()).digest
+
+    scene(tmp_path, what)
+
+
+def test_a_publisher_that_was_stopped_publishes_nothing_under_its_old_epoch(tmp_path):
+    async def what(controls):
+        await controls.all_reach(await controls.publish(3))
+        first, before = await controls.publisher()
+        stopped = controls.running.pop(first)
+        stopped.stop()
+        stopped.say(Publish((("node/0", "of the old publisher"),)))  # it reads this when it goes on
+        newest = await controls.publish(5)
+        stopped.go_on()
+        await stopped.next(Submitted, len(stopped.seen(Submitted)))
+        controls.running[first] = stopped
+        await controls.all_reach(await controls.publish(5))
+        name, report = await controls.publisher()
+        assert report.epoch > before.epoch and newest < report.revision
+        digests = {(await process.report()).digest for process in controls.running.values()}
+        assert len(digests) == 1
+
+    scene(tmp_path, what)
+
+
+def test_a_minority_publishes_nothing_serves_on_and_says_how_old_it_is(tmp_path):
+    async def what(controls):
+        newest = await controls.publish(3)
+        await controls.all_reach(newest)
+        lost = list(controls.setups)[1:]
+        for name in lost:
+            controls.kill(name)
+        (alone,) = controls.running
+        process = controls.running[alone]
+        await process.report_where(lambda report: not report.publishes and report.age_s > 3.0)
+        assert not await controls.submit(alone)
+        report = await process.report()
+        assert report.revision == newest
+        home = controls.followers[0]
+        states = (await home.report_where(lambda r: all(s.age_s > 2.5 for s in r.followers))).followers
+        assert {state.revision for state in states} == {newest}
+        for name in lost:
+            await controls.boot(name)
+        newest = await controls.publish(3)
+        await controls.running[alone].until(lambda process: newest_of(process) >= newest)
+        await controls.followers[0].until(lambda process: followers_at(process, newest))
+        await home.report_where(lambda r: all(s.age_s < 2.0 for s in r.followers))
+
+    scene(tmp_path, what)
