The control machines' scale test submits again what an ended lease gave back

Seen: at 100 followers the test waited 120 s for a change that it had submitted as the leader was killed; nothing came. Cause: the publisher's lease ended before the change stood, and the product gave it back to its submitter, as its page says (Publisher.rest); the test did not submit it again. Not a fault of the product. tests/test_feed_control.py waited in the same way and would have failed now and then.

Change: both look at whether the lease still stands and submit again.

--- a/benchmarks/scale/control.py
+++ b/benchmarks/scale/control.py
@@ -33,6 +33,7 @@
 from scale.feed_relays import HOST
 from scale.feed_scenarios import LOAD_WITHIN_S, SETTLE_WITHIN_S, Plan
 from scale.feed_times import in_force_times
+from scale.feed_voters import NOT_PUBLISHED
 from scale.figures import Figure, Kind, Part
 from scale.fleetsize import BROKERS
 
@@ -71,8 +72,12 @@
         return await self.publisher()
 
     async def publish(self, changes: Sequence[Change], forget: bool = False) -> Published:
-        self.newest = await (await self.publisher()).ask(Publish(tuple(changes)), Published)
-        return self.newest
+        """Submitted again where the lease ended before the changes stood in the agreed log."""
+        published = Published(NOT_PUBLISHED, 0.0, b"")
+        while published.revision == NOT_PUBLISHED:
+            published = await (await self.publisher()).ask(Publish(tuple(changes)), Published)
+        self.newest = published
+        return published
 
     async def kill(self, relay: Child) -> None:
         """Ends a control machine at once; what is left goes on."""
--- a/benchmarks/scale/feed_voters.py
+++ b/benchmarks/scale/feed_voters.py
@@ -26,6 +26,7 @@
 from scale.feed_usage import peak_bytes, resident_bytes
 
 KEYS = (b"the key of a scale test's control machines",)
+NOT_PUBLISHED = 0  # in place of a revision
 LOOK_S = 0.002  # between looks at whether a publication was agreed on
 
 
@@ -60,15 +61,20 @@
         return Listening((await self.server.start(),))
 
     async def _publish(self, changes: tuple[Change, ...]) -> Published:
-        """Until the last of the changes stands in the agreed log. Raises NotPublishing."""
+        """Until the last of the changes stands in the agreed log, or the lease under which they were taken is over:
+        they are their submitter's again then, and revision 0 says so."""
         server = self.server
         assert server is not None
-        submitted = time.monotonic()
+        submitted, epoch = time.monotonic(), server.publisher.epoch
+        if not server.publishes:
+            return Published(NOT_PUBLISHED, submitted, b"")
         problems = server.submit(changes)
         if problems:
             raise ValueError(problems[0].reason)
         log, last = server.relay.log, changes[-1]
         while log.content.get(last.key) != last.value:
+            if server.publisher.epoch != epoch:
+                return Published(NOT_PUBLISHED, submitted, b"")
             await asyncio.sleep(LOOK_S)
         return Published(log.revision, submitted, log.content.digest())
 
--- a/tests/test_feed_control.py
+++ b/tests/test_feed_control.py
@@ -84,13 +84,22 @@
         """Has so many changes published one after the other; the revision that holds the last."""
         for _ in range(count):
             async with asyncio.timeout(60):
-                while True:
-                    name, report = await self.publisher()
-                    if await self.submit(name):
-                        break
-            process = self.running[name]
-            await process.until(lambda process, old=report.revision: newest_of(process) > old)
-        return newest_of(process)
+                while not (revision := await self._publish_one()):
+                    pass
+        return revision
+
+    async def _publish_one(self):
+        """The revision that a change led to; nothing where the lease ended first and the change was given back."""
+        name, before = await self.publisher()
+        if not await self.submit(name):
+            return 0
+        while True:
+            report = await self.running[name].report()
+            if report.revision > before.revision:
+                return report.revision
+            if not report.publishes:
+                return 0
+            await asyncio.sleep(0.01)
 
     async def all_reach(self, revision):
         """Waits until all machines that run and all followers hold a revision."""
