One reading of bytes in the feed, the rig's free ports, two unions that nobody used are gone

Seen on reading the change once more: feed/messages.py and feed/commands.py caught the same errors in three places, beside a type variable that nothing used; the control machines' test and scale test each chose ports anew where standin.rig.free_port already does, and better: not among those that the system gives to its own connections, which a machine that is started again would find taken; ToFollower and ToRelay were read by nobody; a default had a factory that a frozen value does not need.

Change: feed.messages.read for all three; rig.free_port in both; the rest taken out. Behaviour and assertions as they were. Left: feednet/control and rota/service send to a voter and to themselves in the same few lines.

The whole suite was not run again.

--- a/badgerbend/feed/commands.py
+++ b/badgerbend/feed/commands.py
@@ -11,8 +11,8 @@
 
 from badgerbend.consensus.messages import MOST_COMMAND
 from badgerbend.feed.content import hashed
-from badgerbend.feed.errors import Malformed, TooLarge
-from badgerbend.feed.messages import MOST_CHANGES, Number, Publication
+from badgerbend.feed.errors import TooLarge
+from badgerbend.feed.messages import MOST_CHANGES, Number, Publication, read
 
 PART_BYTES = MOST_COMMAND - 60  # of a publication's bytes in one entry: the rest is the command's head
 MOST_PARTS = 400
@@ -59,7 +59,4 @@
 
 def decode_publication(data: bytes) -> Publication:
     """Raises Malformed."""
-    try:
-        return _publication_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
-        raise Malformed(str(err)) from err
+    return read(_publication_decoder, data)
--- a/badgerbend/feed/messages.py
+++ b/badgerbend/feed/messages.py
@@ -133,8 +133,6 @@
     laggards: Annotated[tuple[Laggard, ...], msgspec.Meta(max_length=MOST_LAGGARDS)]
 
 
-ToFollower = Publication | Heartbeat | SnapshotBegin | SnapshotPiece
-ToRelay = Hello | Status
 Message = Publication | Heartbeat | SnapshotBegin | SnapshotPiece | Hello | Status | Summary
 
 _encoder = msgspec.msgpack.Encoder()
@@ -147,21 +145,23 @@
     return _encoder.encode(message)
 
 
-def decode(data: bytes) -> Message:
-    """Raises Malformed."""
+def read(decoder: msgspec.msgpack.Decoder[MessageType], data: bytes) -> MessageType:
+    """What a decoder makes of bytes from elsewhere. Raises Malformed."""
     try:
-        return _decoder.decode(data)
+        return decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
         raise Malformed(str(err)) from err
 
 
+def decode(data: bytes) -> Message:
+    """Raises Malformed."""
+    return read(_decoder, data)
+
+
 def encode_changes(changes: tuple[Change, ...]) -> bytes:
     return _encoder.encode(changes)
 
 
 def decode_changes(data: bytes) -> tuple[Change, ...]:
     """Raises Malformed."""
-    try:
-        return _changes_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as err:
-        raise Malformed(str(err)) from err
+    return read(_changes_decoder, data)
--- a/badgerbend/feednet/control.py
+++ b/badgerbend/feednet/control.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 from badgerbend.consensus import messages as voting
@@ -48,7 +48,7 @@
     terms: Terms = Terms()
     publishing: PublisherTuning = PublisherTuning()
     relaying: RelayTuning = RelayTuning()
-    control: ControlTuning = field(default_factory=ControlTuning)
+    control: ControlTuning = ControlTuning()
 
 
 class ControlServer(SealedSocket):
--- a/benchmarks/scale/control.py
+++ b/benchmarks/scale/control.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from badgerbend.feed.messages import Change
+from badgerbend.standin.rig import free_port
 from scale.feed import FULL_SIZES, SMALL_SIZES, plan_for
 from scale.feed_figures import MEGABYTE, SizeFigures, spent
 from scale.feed_fleet import FIRST_CHANGES_AT_ONCE, RELAY_REGIONS, Fleet
@@ -30,7 +31,6 @@
     VoterAddress,
 )
 from scale.feed_process import Child
-from scale.feed_relays import HOST
 from scale.feed_scenarios import LOAD_WITHIN_S, SETTLE_WITHIN_S, Plan
 from scale.feed_times import in_force_times
 from scale.feed_voters import NOT_PUBLISHED
@@ -86,8 +86,8 @@
         await relay.kill()
 
     async def _start_relays(self) -> None:
-        ports = _free_ports(len(self.relays))
-        voters = tuple(VoterAddress(f"control-{place}", port) for place, port in enumerate(ports, start=1))
+        names = [f"control-{place}" for place in range(1, len(self.relays) + 1)]
+        voters = tuple(VoterAddress(name, free_port(socket.SOCK_DGRAM)) for name in names)
         commands = [StartVoter(voter.name, str(self.folder / voter.name), voters) for voter in voters]
         asked = [relay.ask(command, Listening) for relay, command in zip(self.relays, commands, strict=True)]
         for voter, region, listening in zip(voters, RELAY_REGIONS, await asyncio.gather(*asked), strict=True):
@@ -98,17 +98,6 @@
             await self.publish(first[at : at + FIRST_CHANGES_AT_ONCE])
 
 
-def _free_ports(count: int) -> list[int]:
-    """Ports of loopback that nobody has now."""
-    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 class ControlScenarios:
     """One size's fleet and the figures found so far."""
 
--- a/tests/test_feed_control.py
+++ b/tests/test_feed_control.py
@@ -6,6 +6,7 @@
 from badgerbend.feed.follower import FollowerTuning
 from badgerbend.feed.relay import RelayTuning
 from badgerbend.ledger.store import create
+from badgerbend.standin.rig import free_port
 from tests.feed_lines import ControlSetup, FollowersSetup, Installed, Listening, Publish, Published, Submitted
 from tests.feed_processes import FeedProcess, FeedProcesses
 
@@ -15,25 +16,13 @@
 COUNT = 4  # followers of a region
 
 
-def free_ports(count):
-    """Ports of loopback that nobody has now."""
-    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
-
-
 class Controls:
     """Control machines of one test, one a region, and the followers of all regions."""
 
     def __init__(self, processes, folder):
         self.processes = processes
         names = [f"control-{region}" for region in REGIONS]
-        voters = dict(zip(names, (("127.0.0.1", port) for port in free_ports(len(names))), strict=True))
+        voters = {name: ("127.0.0.1", free_port(socket.SOCK_DGRAM)) for name in names}
         for name in names:
             create(folder / name, name, names)
         self.setups = {
