--- a/badgerbend/standin/agent.py
+++ b/badgerbend/standin/agent.py
@@ -12,7 +12,8 @@
 
 
 class Agent:
-    """silent: calls are taken and not answered, as while discovery is down. answer: said in place of the list."""
+    """silent: calls are taken and not answered, as while discovery is down. answer: said in place of the list.
+    delay_s: a call is read so much later, as by an agent that is busy."""
 
     def __init__(self) -> None:
         self.http = HttpServer(self._handle, ServerLimits(idle_timeout_s=300.0))
@@ -23,6 +24,7 @@
         self.asked: list[str] = []
         self.silent = False
         self.answer: bytes | None = None
+        self.delay_s = 0.0
 
     async def start(self) -> int:
         return await self.http.start("127.0.0.1", 0)
@@ -61,6 +63,12 @@
         self.asked.append(target)
         if self.silent:
             return
+        if self.delay_s:
+            asyncio.get_running_loop().call_later(self.delay_s, self._read, exchange, target)
+        else:
+            self._read(exchange, target)
+
+    def _read(self, exchange: Exchange, target: str) -> None:
         if self.answer is not None:
             exchange.respond(200, self.answer, b"application/json")
             return
