--- a/badgerbend/discovery/keyed.py
+++ b/badgerbend/discovery/keyed.py
@@ -14,7 +14,8 @@
 from badgerbend import api
 from badgerbend.discovery.directory import SLICE, Directory, Entry, Reading
 from badgerbend.discovery.members import parse_address
-from badgerbend.discovery.watch import Clock, Timer
+from badgerbend.discovery.polls import Timer
+from badgerbend.discovery.watch import Clock
 
 STATES = {"ready": api.EndpointState.READY, "draining": api.EndpointState.DRAINING, "gone": api.EndpointState.REMOVED}
 MOST_TOLD = 5  # rows left out that are named at once
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -12,7 +12,7 @@
 from badgerbend import api
 from badgerbend.decisions import Aggregator
 from badgerbend.discovery.directory import Directory, ListError
-from badgerbend.discovery.members import MembersTarget, form, leaving
+from badgerbend.discovery.members import SHORTEST_S, MembersTarget, form, leaving
 from badgerbend.discovery.watch import Watch
 from badgerbend.frames.transport import FrameLimits, FrameTransport
 from badgerbend.net.server import HttpServer, ServerLimits
@@ -81,8 +81,7 @@
             f"badgerbend/{config.name}",
         )
         self.watch.on_taken = self._taken
-        self.first_word = asyncio.Event()  # the agent answered, or had its chance to
-        self.watch.on_failed = self.first_word.set
+        self.first_word = asyncio.Event()  # the agent has told its list
         module = Aggregator(settings, config.seed)
         self.driver = Driver(settings, module, self.transport, self.watch, self.schedule, self.tally)
         self.schedule.turn = self.driver.turn
@@ -107,7 +106,7 @@
 
         Where the list is pushed, what the agent has counts as told from the process's first moment, and the known list
         may be old: by the time it listens, a slow process has used up a drain's grace. So the agent has its chance to
-        answer first. One that is silent is not waited for any longer than a question to it.
+        answer first, also a slow one: a grace's time. One that is silent holds up the start no longer.
         """
         self._take_known()
         settle_memory()
@@ -116,12 +115,19 @@
         self._view(api.EndpointUpdate(api.UpdateKind.CACHED, lines))
         self.watch.start()
         if not self.watch.asks:
-            await self.first_word.wait()
+            await self._hear_first_word()
         port = await self.server.start(*self.config.listen)
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
         self.tally.line("listening", name=self.config.name, port=port, servers=len(self.directory.known))
         return port
 
+    async def _hear_first_word(self) -> None:
+        try:
+            async with asyncio.timeout(max(self.config.drain_grace_ms / 1000.0, SHORTEST_S)):
+                await self.first_word.wait()
+        except TimeoutError:
+            self.tally.trouble("list not read", "listens without the agent's word")
+
     def _target(self, config: Config) -> MembersTarget:
         settings = self.config.settings  # those of a reload take effect at the next start
         return MembersTarget(
