--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -15,6 +15,9 @@
 from badgerbend.frames.codec import Answered, Ask, Decoder, Names, call, frame
 from badgerbend.runtime.ports import Attempt
 
+DELAYED_MS = 1.0
+"""A part written later than this after its decision was delayed: things may have changed since."""
+
 
 class Owner(Protocol):
     """What a channel needs of the transport it belongs to."""
@@ -27,6 +30,9 @@
 
     def ended(self, attempt: Attempt, outcome: Outcome, value: bytes | None) -> None: ...
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether a client still waits for it."""
+
     def forget(self, channel: Channel) -> None:
         """It is of no further use."""
 
@@ -187,17 +193,24 @@
         transport = self.transport
         while self.waiting and transport is not None and not self.blocked and not transport.is_closing():
             now_ms = self.owner.now_ms()
-            attempts = [a for a in self.waiting[0] if now_ms <= a.begin_by_ms]
-            late = [a for a in self.waiting.pop(0) if a not in attempts]  # while this connection came up, or was full
-            for a in attempts:
-                self.out[asked(a).id] = a
+            handed_over = self.waiting.pop(0)
+            attempts = [attempt for attempt in handed_over if self._may_begin(attempt, now_ms)]
+            for attempt in attempts:
+                self.out[asked(attempt).id] = attempt
             if attempts:
-                data = call(self.owner.names, [(asked(a), a.timeout_ms) for a in attempts])
+                data = call(self.owner.names, [(asked(a), a.time_left_ms(now_ms)) for a in attempts])
                 self.last_call, self.call_size, self.since_call = attempts, len(data), 0
                 self.since = self.loop.time()
                 self._write(data)
-            for a in late:
-                self.owner.ended(a, Outcome.NOT_SENT, None)
+            for attempt in handed_over:
+                if attempt not in attempts:
+                    self.owner.ended(attempt, Outcome.NOT_SENT, None)
+
+    def _may_begin(self, attempt: Attempt, now_ms: float) -> bool:
+        """Whether it may still be written, after this connection came up or was full for a while."""
+        if now_ms > attempt.begin_by_ms or attempt.time_left_ms(now_ms) <= 0.0:
+            return False
+        return now_ms - attempt.sent_ms < DELAYED_MS or self.owner.wanted(attempt)
 
     def _write(self, data: bytes) -> None:
         assert self.transport is not None
--- a/badgerbend/frames/transport.py
+++ b/badgerbend/frames/transport.py
@@ -41,10 +41,11 @@
         address_of: Callable[[int], tuple[str, int] | None],
         ended: Ended,
         trouble: Callable[[str, str], None],
+        wanted: Callable[[Attempt], bool] = lambda attempt: True,
     ) -> None:
         self.names, self.limits, self.address_of = names, limits, address_of
         self.streams, self.max_frame = limits.streams, limits.max_frame
-        self.tell, self.trouble = ended, trouble
+        self.tell, self.trouble, self.wanted = ended, trouble, wanted
         self.loop = asyncio.get_running_loop()
         self.channels: dict[int, list[Channel]] = {}
         self.addresses: dict[int, tuple[str, int]] = {}  # that a node's channels were made for
--- a/badgerbend/graphql/fields.py
+++ b/badgerbend/graphql/fields.py
@@ -62,6 +62,7 @@
     def __init__(self, root: RootField, parts: list[PartPlan], done: Done) -> None:
         self.root, self.parts, self.done = root, parts, done
         self.query_id: int | None = None
+        self.client_has_left: Callable[[], bool] = lambda: False
         self.mark: Mark | None = None
         self.advice_ms = 0.0
 
--- a/badgerbend/graphql/front.py
+++ b/badgerbend/graphql/front.py
@@ -168,16 +168,20 @@
             self._plan(self.todo.pop(), ready)
         self.waiting |= {q for q, _ in ready}
         for query, plan in ready:
-            query.query_id = self.front.driver.submit(plan, query)
+            self._submit(query, plan)
         self._finish_if_done()
 
+    def _submit(self, query: FieldQuery, plan: QueryPlan) -> None:
+        query.client_has_left = self.exchange.client_has_left
+        query.query_id = self.front.driver.submit(plan, query)
+
     def _next(self) -> None:
         while self.todo and not self.waiting and not self.exchange.gone:
             ready: list[tuple[FieldQuery, QueryPlan]] = []
             self._plan(self.todo.pop(), ready)
             for query, plan in ready:
                 self.waiting.add(query)
-                query.query_id = self.front.driver.submit(plan, query)
+                self._submit(query, plan)
         self._finish_if_done()
 
     def _plan(self, root: RootField, ready: list[tuple[FieldQuery, QueryPlan]]) -> None:
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -22,6 +22,8 @@
 
 import httptools
 
+from badgerbend.net.acceptor import Listener, accept_from
+
 REASONS = {s.value: s.phrase.encode() for s in HTTPStatus}
 SWEEP_S = 0.5  # how often slow readers and idle connections are looked for
 HANG_UP_S = 0.05  # how often, while reading is paused, whether the peer has closed
@@ -29,8 +31,6 @@
 SLICE = 4096  # bytes read at a time: a few requests
 MOST_AHEAD = 16_384  # bytes that wait unread before reading is paused
 LINGER_S, LINGER_BYTES = 0.5, 262_144  # of a lingering close: the client needs a way there to read its answer
-BACKLOG = 1024  # connections that the kernel holds for us
-ACCEPTS = 4  # of them accepted in one turn: two turns pass before the limit on connections sees these
 HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -67,6 +67,10 @@
         """The same for all exchanges of one connection."""
         return id(self._connection)
 
+    def client_has_left(self) -> bool:
+        """Asks the socket whether the peer has closed, though that was not read yet; if so the exchange ends soon."""
+        return self.gone or self._connection.peer_has_left()
+
     def respond(self, status: int, body: bytes, content_type: bytes, extra: Headers = ()) -> bool:
         """Writes the answer. False if the peer has gone or was answered before: then nothing is written."""
         if self.gone or self._connection.active is not self:
@@ -92,7 +96,7 @@
         self.closing = False
         self.turned_away = self.lingering = 0
         self.address = ("", 0)  # once it listens
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._emptied: asyncio.Future[None] | None = None
 
@@ -100,19 +104,16 @@
         """Listens; returns the port. Raises OSError where the address is taken or not ours."""
         loop = asyncio.get_running_loop()
         listener = await bound_socket(loop, host, port)
-        # asyncio accepts as many in one turn as it is told to hold in the backlog: a flood would take all descriptors
-        # before the limit sees one of them, and leave none for the list's agent or for servers.
-        self._server = await loop.create_server(lambda: _Connection(self, loop), sock=listener, backlog=ACCEPTS)
-        listener.listen(BACKLOG)
+        self._listener = await accept_from(loop, listener, lambda: _Connection(self, loop))
         self._sweeper = loop.call_later(SWEEP_S, self._sweep, loop)
         bound = listener.getsockname()
         self.address = (str(bound[0]), int(bound[1]))
         return self.address[1]
 
     def stop_listening(self) -> None:
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
 
     async def close(self, grace_s: float) -> int:
         """Stops listening, lets open exchanges end, cuts what is left after `grace_s`; returns how many."""
@@ -260,10 +261,15 @@
             if self._timer is not None:
                 self._timer.cancel()
 
+    def peer_has_left(self) -> bool:
+        """Whether the peer has closed or reset it; then it is cut."""
+        if not self._polled(HUNG_UP):
+            return False
+        self.abort()
+        return True
+
     def _look_for_hang_up(self) -> None:
-        if self._polled(HUNG_UP):
-            self.abort()
-        else:
+        if not self.peer_has_left():
             self._timer = self.loop.call_later(HANG_UP_S, self._look_for_hang_up)
 
     def _polled(self, events: int) -> bool:
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -147,6 +147,9 @@
         self.front, self.request, self.exchange = front, request, exchange
         self.query_id: int | None = None
 
+    def client_has_left(self) -> bool:
+        return self.exchange.client_has_left()
+
     def more(self, results: Sequence[tuple[PartPlan, object]]) -> Sequence[PartPlan]:
         return ()
 
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -68,6 +68,7 @@
             lambda node: self.directory.addresses.get(node),
             lambda *end: self.driver.ended(*end),
             self.tally.trouble,
+            lambda attempt: self.driver.is_wanted(attempt),
         )
         self.watch = Watch(
             self._target(config),
--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -67,6 +67,7 @@
         self._out: dict[tuple[int, int], Attempt] = {}
         self._due: list[tuple[float, int, int, object]] = []  # when, order, kind, what
         self._calls: dict[int, list[Attempt]] = {}  # sends of this step, by server
+        self._clients_asked: set[int] = set()  # queries whose clients were asked in this turn whether they have left
         self._woken = False
 
     # -- What happens. Each of these only notes it; the step comes with the next turn.
@@ -96,6 +97,11 @@
             self._forget(query_id)
             self._close(query, "gone")
 
+    def is_wanted(self, attempt: Attempt) -> bool:
+        """Whether a client still waits for what an attempt is about. Asked before one that was delayed is written."""
+        query = self.queries.get(attempt.query_id)
+        return query is not None and not query.sink.client_has_left()
+
     def ended(self, attempt: Attempt, outcome: Outcome, result: object, report: tuple[float, ...] = ()) -> None:
         """An attempt's end. A second word on the same attempt is ignored."""
         if self._out.pop((attempt.part_id, attempt.number), None) is not attempt:
@@ -130,6 +136,7 @@
     def turn(self) -> None:
         """One step for all that has happened, then its actions in their order."""
         self._woken = False
+        self._clients_asked.clear()
         now = self.schedule.now_ms()
         overdue = self._pop_due(now)
         events, self._events = self._events, []
@@ -197,6 +204,13 @@
         return self.queries.get(owner) if owner is not None else None
 
     def _flush(self, node: int) -> None:
+        """Sends what this turn decided for a server, but for queries whose client has left. A process that was held up
+        finds a request and the end of its connection together: the end is read a turn later than the request."""
+        for query_id in {attempt.query_id for attempt in self._calls.get(node, ())} - self._clients_asked:
+            self._clients_asked.add(query_id)
+            query = self.queries.get(query_id)
+            if query is not None and query.sink.client_has_left():
+                self.gone(query_id)
         attempts, most = self._calls.pop(node, []), self.settings.parts_per_call
         for at in range(0, len(attempts), most):
             self.transport.send(node, attempts[at : at + most])
--- a/badgerbend/runtime/ports.py
+++ b/badgerbend/runtime/ports.py
@@ -48,6 +48,10 @@
     begin_by_ms: float = math.inf  # on the clock of sent_ms: a first byte after that would be too late
     handle: object = None  # the transport's own
 
+    def time_left_ms(self, now_ms: float) -> float:
+        """What is left of its timeout. A server is told this, and not more than its client still has."""
+        return self.timeout_ms - (now_ms - self.sent_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class Ending:
@@ -67,6 +71,9 @@
 class Sink(Protocol):
     """Where a query's answers go. Exactly one of `answered`, `refused`, `failed` is called, once."""
 
+    def client_has_left(self) -> bool:
+        """Whether its client has gone, as far as can be asked now. Nothing is sent on for such a query."""
+
     def more(self, results: Sequence[tuple[PartPlan, object]]) -> Sequence[PartPlan]:
         """The parts of the second step, after a first answer; none if the first answer is enough."""
 
--- a/benchmarks/scale/query_load.py
+++ b/benchmarks/scale/query_load.py
@@ -198,6 +198,9 @@
         """The list is told."""
 
     # -- runtime.ports.Sink
+    def client_has_left(self) -> bool:
+        return False
+
     def more(self, results: Sequence[tuple[PartPlan, object]]) -> Sequence[PartPlan]:
         return ()
 
--- a/tests/simsites.py
+++ b/tests/simsites.py
@@ -223,6 +223,9 @@
     def __init__(self, on_end):
         self.on_end = on_end
 
+    def client_has_left(self):
+        return False
+
     def more(self, results):
         return ()
 
--- a/tests/simtold.py
+++ b/tests/simtold.py
@@ -61,12 +61,22 @@
     async def create_connection(self, factory, host, port):
         return await self.world.connect(factory, (host, port))
 
-    async def create_server(self, factory, **_):
-        return SimpleNamespace(close=lambda: None)
+    def add_reader(self, fd, callback, *args): ...
+
+    def remove_reader(self, fd): ...
 
 
 async def bound_socket(loop, host, port):
-    return SimpleNamespace(getsockname=lambda: (host, port), listen=lambda backlog: None)
+    def accept():
+        raise BlockingIOError
+
+    return SimpleNamespace(
+        getsockname=lambda: (host, port),
+        listen=lambda backlog: None,
+        fileno=lambda: -1,
+        accept=accept,
+        close=lambda: None,
+    )
 
 
 class _Link:
@@ -312,6 +322,9 @@
     def __init__(self, world):
         self.world, self.over = world, False
 
+    def client_has_left(self):
+        return False
+
     def more(self, results):
         return ()
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -22,6 +22,9 @@
 class Mute:
     """Takes a query's answers and passes none on."""
 
+    def client_has_left(self):
+        return False
+
     def more(self, results):
         return ()
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from badgerbend.net import acceptor
 from badgerbend.net import server as http
 from badgerbend.net.server import HttpServer, ServerLimits
 from badgerbend.platform import service as services
@@ -321,7 +322,7 @@
             for _ in range(200):
                 await asyncio.sleep(0)
                 most = max(most, held() - before)
-            assert 0 < most <= 10 + 4 * http.ACCEPTS
+            assert 0 < most <= 10 + 4 * acceptor.ACCEPTS_A_TURN
             for sock in flood:
                 sock.close()
 
--- a/tests/test_crossings_nodes.py
+++ b/tests/test_crossings_nodes.py
@@ -9,6 +9,7 @@
 from badgerbend.platform.names import FRAMES
 from badgerbend.standin.framenode import FrameNode, Part
 from tests.platform_stage import Dials, Stage, query, run
+from tests.replacing import replace_attribute
 from tests.sockets import until
 from tests.test_frames import attempt, transport_to
 
@@ -206,3 +207,38 @@
         node.stop()
 
     run(main)
+
+
+def test_a_part_that_waited_for_its_connection_tells_the_deadline_that_is_left():
+    async def main():
+        node = FrameNode(lambda part: None)
+        transport, _, _ = await transport_to(await node.start(), connect_timeout_s=30.0)
+        async with Dials(lambda: [node]) as dials:
+            transport.send(1, [attempt(1)])
+            await until(lambda: dials.waiting)
+            await asyncio.sleep(0.2)
+            dials.release()
+            await until(lambda: node.parts())
+        told = node.parts()[0].wait_ms
+        assert 0 < told <= 800  # of a second
+        node.stop()
+
+    run(main)
+
+
+def test_a_part_whose_client_left_while_it_waited_for_its_connection_is_not_written():
+    async def main():
+        node = FrameNode(lambda part: None)
+        transport, ends, _ = await transport_to(await node.start(), connect_timeout_s=30.0)
+        replace_attribute(transport, "wanted", lambda attempt: False)
+        async with Dials(lambda: [node]) as dials:
+            transport.send(1, [attempt(1)])
+            await until(lambda: dials.waiting)
+            await asyncio.sleep(0.05)
+            dials.release()
+            await until(lambda: ends)
+        assert [end[1] for end in ends] == [Outcome.NOT_SENT]
+        assert node.parts() == []
+        node.stop()
+
+    run(main)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -20,6 +20,10 @@
     def __init__(self, rig, parts=1, more=0):
         self.rig, self.parts, self.extra, self.finals, self.whole, self.results = rig, parts, more, [], None, []
         self.asked = rig.now
+        self.client_left = False
+
+    def client_has_left(self):
+        return self.client_left
 
     def more(self, results):
         assert not self.finals
@@ -306,3 +310,25 @@
     assert [how for _, how in sound.finals] == ["answered"]
     assert not rig.driver.queries
     assert ("a sink broke", "RuntimeError: a defect") in rig.troubles
+
+
+def test_nothing_is_sent_for_a_client_that_has_left_though_nobody_was_told():
+    rig = Rig(ok())
+    sink = rig.ask()
+    sink.client_left = True  # its socket says so; the loop has not read that yet
+    rig.run(100.0)
+    assert rig.sent == []
+    assert sink.finals == []
+    assert rig.driver.idle
+
+
+def test_no_further_attempt_is_sent_for_a_client_that_has_left():
+    rig = Rig(lambda a: (api.Outcome.REJECTED, 10.0))
+    sink = rig.ask()
+    rig.run(5.0)
+    first = len(rig.sent)
+    assert first > 0
+    sink.client_left = True
+    rig.run(3000.0)
+    assert len(rig.sent) == first
+    assert sink.finals == []
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -138,6 +138,9 @@
 
     def give_up(self, channel): ...
 
+    def wanted(self, attempt):
+        return True
+
     def trouble(self, what, detail):
         self.troubles.append(detail)
 
@@ -150,8 +153,13 @@
 
 
 def attempt(shard, number=0, query=b"q1", text=b"text"):
+    """Decided now: on the running loop's clock, or at the 0 of a test without one."""
     ask = Ask(b"%s.%d" % (query, shard), shard, None, text)
-    return Attempt(shard, number, 1, PartPlan(shard, 0.5, None, ask), 1, 0.0, 1000.0)
+    try:
+        sent_ms = asyncio.get_running_loop().time() * 1000.0
+    except RuntimeError:
+        sent_ms = 0.0
+    return Attempt(shard, number, 1, PartPlan(shard, 0.5, None, ask), 1, sent_ms, 1000.0)
 
 
 @pytest.fixture
