Log lines carry times and polls' states; a wall clock's step makes no server older

Each line has `at` (monotonic seconds), `listening` has `unix` and whether the list was heard; `list not read` says how long the poll waited and how many stay open, `list read late` that one was answered after all; a query whose client left after further attempts gets an `ended` line, and `extra` its further attempts; the summary counts failed accepts and overdue polls. Names of before stay (lists of interfaces: fields added only).

Same class, state read late: a request sent once more on a new connection got 409 while the end of the first connection was still unread. The first one's socket is asked now.

Wall clock: ages of servers were taken from it at each list, so after a step ahead a server that had just started counted as warm. SteadyUnixClock gives the earlier of the wall clock and of its first reading carried on by the monotonic clock.

--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -100,6 +100,11 @@
     def asks(self) -> bool:
         return self.target.asks
 
+    @property
+    def overdue_polls(self) -> int:
+        """Polls that had no answer in time and are still open."""
+        return len(self._overdue.polls)
+
     def move(self, target: Target) -> None:
         """Asks another service from now on. The list in force stays until that one is heard; its versions are new."""
         self._take_all()
@@ -181,7 +186,8 @@
         if not self.asks:
             self._poll = None
             self._overdue.add(poll, self.clock.time())
-            self._failed("no answer in time")
+            waited_ms = (self.clock.time() - poll.asked_at) * 1000.0
+            self._failed(f"no answer in time: {waited_ms:.0f} ms, {self.overdue_polls} polls stay open")
             return
         self._stop_latest()
         if self.index is not None:
@@ -210,6 +216,7 @@
             if self._newest is not None and (version is None or version < self._newest):
                 self._overdue.ended(poll)  # overtaken by the answer to a later poll
                 return
+            self.on_trouble("list read late", f"after {(self.clock.time() - poll.asked_at) * 1000.0:.0f} ms")
             self._make_latest(poll)
         self._poll = None
         self._overdue.answered(poll)
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -22,7 +22,7 @@
 
 import httptools
 
-from badgerbend.net.acceptor import Listener, accept_from
+from badgerbend.net.acceptor import Acceptor, Listener, accept_from
 
 REASONS = {s.value: s.phrase.encode() for s in HTTPStatus}
 SWEEP_S = 0.5  # how often slow readers and idle connections are looked for
@@ -110,6 +110,11 @@
         self.address = (str(bound[0]), int(bound[1]))
         return self.address[1]
 
+    @property
+    def accepts_failed(self) -> int:
+        """Accepts that failed for want of descriptors or memory, while it listens."""
+        return self._listener.failures if isinstance(self._listener, Acceptor) else 0
+
     def stop_listening(self) -> None:
         if self._listener is not None:
             self._listener.close()
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -96,8 +96,7 @@
         request = headers.get(names.ID, b"")
         if not ID(request):
             raise Rejected(400, "no usable id")
-        if request in self.open:
-            raise Rejected(409, "a request with this id is open")
+        self._check_not_open(request)
         tenant = self.tenants.get(headers.get(names.TENANT, b""))
         if tenant is None and self.tenants:
             raise Rejected(403, "no such account")
@@ -115,6 +114,16 @@
             raise Rejected(503, "this broker ends")
         return request, QueryPlan(number, tenant or 0, about, time_left, retry, None, parts, request.decode())
 
+    def _check_not_open(self, request: bytes) -> None:
+        """Raises Rejected for the id of an open request. A client whose connection broke sends the same request once
+        more on another one, perhaps before the end of the first was read here: then the first ends now."""
+        pending = self.open.get(request)
+        if pending is None:
+            return
+        if not pending.client_has_left():
+            raise Rejected(409, "a request with this id is open")
+        pending.gone()
+
     def _parts(self, raw: bytes, request: bytes, key: bytes | None) -> list[PartPlan]:
         try:
             body = _decode(raw)
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -13,6 +13,7 @@
 from badgerbend.decisions import Aggregator
 from badgerbend.discovery.directory import Directory, ListError
 from badgerbend.discovery.members import SHORTEST_S, MembersTarget, form, leaving
+from badgerbend.discovery.wall_clock import SteadyUnixClock
 from badgerbend.discovery.watch import Watch
 from badgerbend.frames.transport import FrameLimits, FrameTransport
 from badgerbend.net.server import HttpServer, ServerLimits
@@ -46,6 +47,7 @@
         settings = config.settings
         self.tally = Tally(config.classes, lambda node: self.directory.names.get(node, str(node)))
         self.schedule = LoopSchedule(self.loop)
+        self.unix_s = SteadyUnixClock(time.time, time.monotonic)
         self.directory = Directory(
             settings.cell_count,
             form(names.MEMBERS, config.zones, config.kinds),
@@ -75,7 +77,7 @@
             self.directory,
             self.loop,
             self.schedule.now_ms,
-            time.time,
+            self.unix_s,
             self._view,
             self.tally.trouble,
             config.seed,
@@ -119,7 +121,14 @@
             await self._hear_first_word()
         port = await self.server.start(*self.config.listen)
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
-        self.tally.line("listening", name=self.config.name, port=port, servers=len(self.directory.known))
+        self.tally.line(
+            "listening",
+            name=self.config.name,
+            port=port,
+            servers=len(self.directory.known),
+            unix=round(time.time(), 3),
+            list_heard=self.first_word.is_set(),
+        )
         return port
 
     async def _hear_first_word(self) -> None:
@@ -178,7 +187,7 @@
         """The list as it was last held: old perhaps, and better than none."""
         if self.config.known:
             try:
-                _, wrong = self.directory.read(self.config.known, self.schedule.now_ms(), time.time())
+                _, wrong = self.directory.read(self.config.known, self.schedule.now_ms(), self.unix_s())
             except ListError as err:
                 wrong = [str(err)]
             for problem in wrong[:5]:
@@ -216,6 +225,8 @@
                 opened=self.transport.opened,
                 rejected=self.front.rejected,
                 turned_away=self.server.turned_away,
+                accepts_failed=self.server.accepts_failed,
+                overdue_polls=self.watch.overdue_polls,
             )
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
--- a/badgerbend/platform/tally.py
+++ b/badgerbend/platform/tally.py
@@ -18,6 +18,8 @@
 from badgerbend.runtime.ports import Attempt, Ending
 
 MOST_NAMES = 8  # of servers in one line
+NOT_ANSWERED = ("refused", "failed", "failed by the watch")
+CLIENT_LEFT = "gone"
 MOST_LINES = 20  # of troubles and bad ends a second; those beyond are counted
 
 
@@ -53,7 +55,8 @@
     def query_ended(self, ending: Ending) -> None:
         how = f"{ending.how}: {ending.why}" if ending.why else ending.how
         self.queries[f"{self.classes[ending.cls]} {how}"] += 1
-        if ending.how in ("refused", "failed", "failed by the watch") and self._may_write():
+        sent = ending.extra or ending.lost
+        if (ending.how in NOT_ANSWERED or (ending.how == CLIENT_LEFT and sent)) and self._may_write():
             lost = [
                 (a.plan.shard, a.number, self.name_of(a.node), outcome.label, round(took, 1))
                 for a, outcome, took in ending.lost
@@ -65,6 +68,7 @@
                 how=how,
                 took_ms=round(ending.took_ms, 1),
                 parts=ending.parts,
+                extra=ending.extra,
                 lost=lost,
             )
 
@@ -103,9 +107,10 @@
 
     # -- lines
     def line(self, what: str, **values: object) -> None:
-        """Writes one line; a log that cannot be written to stops nothing."""
+        """Writes one line, with seconds of the monotonic clock; a log that cannot be written to stops nothing."""
+        entry = {"what": what, "at": round(time.monotonic(), 3), **values}
         try:
-            sys.stderr.write(msgspec.json.encode({"what": what, **values}).decode() + "\n")
+            sys.stderr.write(msgspec.json.encode(entry).decode() + "\n")
             sys.stderr.flush()
         except (OSError, ValueError):
             pass
--- /dev/null
+++ b/tests/test_directory_clock.py
@@ -0,0 +1,43 @@
+"""A wall clock that steps makes no server older than it is."""
+
+import msgspec
+import pytest
+
+from badgerbend.discovery.directory import Directory
+from badgerbend.discovery.members import form
+from badgerbend.discovery.wall_clock import SteadyUnixClock
+from badgerbend.platform import names
+
+UNIX = 1_790_000_000.0
+
+
+class Clocks:
+    """A monotonic clock that runs on and a wall clock that steps."""
+
+    now, step = 100.0, 0.0
+
+    def monotonic(self):
+        return self.now
+
+    def unix(self):
+        return UNIX + self.now + self.step
+
+
+@pytest.mark.parametrize("step", [-3600.0, -2.0, 0.0, 2.0, 3600.0])
+def test_a_start_is_never_taken_for_earlier_than_it_was(step):
+    clocks = Clocks()
+    steady = SteadyUnixClock(clocks.unix, clocks.monotonic)
+    directory = Directory(4, form(names.MEMBERS, ("a",), ("m",)), one_clock=True)
+
+    def started_ms(boot_s):
+        row = {"uid": "s", "endpoint": "127.0.0.1:9", "az": "a", "model": "m", "pod_group": 0, "state": "up"}
+        raw = msgspec.Raw(msgspec.json.encode(row | {"boot_ms": round(boot_s * 1000.0)}))
+        directory.read([raw], clocks.now * 1000.0, steady())
+        return directory.known["s"].line.started_ms
+
+    assert started_ms(UNIX + 95.0) == pytest.approx(95_000.0, abs=1.0)
+    clocks.now, clocks.step = 130.0, step
+    started = started_ms(UNIX + 127.0)  # started anew three seconds ago, by a clock that did not step
+    assert 127_000.0 - 1.0 <= started <= 130_000.0
+    if step >= 0.0:
+        assert started == pytest.approx(127_000.0, abs=1.0)
--- a/tests/test_incident_departed_clients.py
+++ b/tests/test_incident_departed_clients.py
@@ -15,8 +15,10 @@
 import signal
 import time
 
+from badgerbend.standin.framenode import Part
 from tests.broker_process import BrokerProcess, request
 from tests.platform_stage import run
+from tests.sockets import until
 
 HELD_UP_S = 0.3
 TRIES = 5
@@ -82,3 +84,26 @@
                 assert answer.at - began < 0.5
 
     run(main)
+
+
+def test_a_request_sent_once_more_as_its_connection_broke_is_served():
+    # The first copy was still open: its client had closed, and nobody had read that yet.
+    async def main():
+        held = []
+        async with BrokerProcess(behave=held.append) as broker:
+            asked = request("twice")
+            _, writer = await broker.connect()
+            writer.write(asked.data)
+            await until(lambda: broker.arrived(asked))
+            broker.behave = Part.served
+            second = None
+
+            async def close_and_send_once_more():
+                nonlocal second
+                writer.close()
+                second = asyncio.create_task(broker.ask(asked))
+
+            await stopped(broker, close_and_send_once_more)
+            assert (await second).status == 200
+
+    run(main)
