--- a/badgerbend/api.py
+++ b/badgerbend/api.py
@@ -118,6 +118,7 @@
     retry_budget_share: float | None  # further attempts allowed for each part taken in the window
     retry_budget_window_ms: float | None
     max_notification_delay_ms: float = math.inf  # where polled: a change counts as notified after this, come what may
+    max_write_delay_ms: float = 0.0  # the process may be held up so long between a decision and its first byte
 
 
 # -- events
--- a/badgerbend/decisions/retries.py
+++ b/badgerbend/decisions/retries.py
@@ -16,6 +16,7 @@
     def __init__(self, settings: api.Settings, budget: RetryBudget) -> None:
         self._max_attempts = settings.max_attempts
         self._hedging = settings.hedging
+        self._window_margin_ms = max(EARLY_FINISH_MS, settings.max_write_delay_ms)
         self._budget = budget
 
     def is_exhausted(self, part: PartState, now_ms: float) -> bool:
@@ -28,7 +29,8 @@
         """When the next attempt must have started: an idempotent part is repeated only within the servers' window."""
         if part.query.query_class.effect != "keyed" or not part.may_have_run:
             return inf
-        return min(part.may_have_run.values()) + part.query.query_class.idempotency_window_ms - EARLY_FINISH_MS
+        window_ms = part.query.query_class.idempotency_window_ms
+        return min(part.may_have_run.values()) + window_ms - self._window_margin_ms
 
     def allows(self, part: PartState, now_ms: float) -> bool:
         """Whether a part may have another attempt now."""
--- a/badgerbend/net/acceptor.py
+++ b/badgerbend/net/acceptor.py
@@ -76,12 +76,15 @@
         self._listener.close()
 
     def _accept_some(self) -> None:
-        try:
-            for _ in range(ACCEPTS_A_TURN):
+        failures = 0
+        for _ in range(ACCEPTS_A_TURN):
+            try:
                 if not self._accept_one():
-                    return
-        except OSError:
-            self.failures += 1
+                    break
+            except OSError:
+                failures += 1
+        self.failures += failures
+        if failures == ACCEPTS_A_TURN:
             self._loop.remove_reader(self._listener.fileno())
             self._retry = self._loop.call_later(RETRY_S, self.start)
 
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -23,6 +23,7 @@
 import httptools
 
 from badgerbend.net.acceptor import Acceptor, Listener, accept_from
+from badgerbend.net.arrival import unread_s
 
 REASONS = {s.value: s.phrase.encode() for s in HTTPStatus}
 SWEEP_S = 0.5  # how often slow readers and idle connections are looked for
@@ -51,12 +52,19 @@
 class Exchange:
     """One request and its one answer."""
 
-    __slots__ = ("_connection", "body", "gone", "headers", "keep_alive", "method", "on_gone", "target")
+    __slots__ = ("_connection", "body", "gone", "headers", "keep_alive", "method", "on_gone", "received_at", "target")
 
     def __init__(
-        self, connection: _Connection, method: bytes, target: bytes, headers: dict[bytes, bytes], keep: bool
+        self,
+        connection: _Connection,
+        method: bytes,
+        target: bytes,
+        headers: dict[bytes, bytes],
+        keep: bool,
+        received_at: float,
     ) -> None:
         self._connection = connection
+        self.received_at = received_at  # when its last byte came, on the loop's clock
         self.method, self.target, self.headers, self.keep_alive = method, target, headers, keep
         self.body = b""
         self.gone = False
@@ -390,7 +398,8 @@
         if self.lingering:  # it came in one piece with the last request that is answered
             return
         keep = self.parser.should_keep_alive()
-        exchange = Exchange(self, self.parser.get_method(), self.target, self.headers, keep)
+        received_at = self.loop.time() - (unread_s(self.transport) if self.transport is not None else 0.0)
+        exchange = Exchange(self, self.parser.get_method(), self.target, self.headers, keep, received_at)
         exchange.body = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
         self._reset()
         self.reading, self.since, self.asked = False, self.loop.time(), True
--- a/badgerbend/platform/config.py
+++ b/badgerbend/platform/config.py
@@ -16,6 +16,7 @@
 from badgerbend.platform_settings import SettingError, flatten, read_settings
 
 MAX_BYTES = 16_777_216
+MAX_WRITE_DELAY_MS = 150.0  # a process on part of a core may be held up so long, by the platform's rules
 DRAIN_GRACE_MS = 250.0  # where the settings name none: short, since the agent on the own machine is cheap to ask
 
 
@@ -85,7 +86,11 @@
         raise ConfigError(f"the configuration is malformed: {err}") from err
     flat_settings = flatten(file.settings)
     try:
-        settings = replace(read_settings(flat_settings), max_notification_delay_ms=TOLD_S * 1000.0)
+        settings = replace(
+            read_settings(flat_settings),
+            max_notification_delay_ms=TOLD_S * 1000.0,
+            max_write_delay_ms=MAX_WRITE_DELAY_MS,
+        )
     except SettingError as err:
         raise ConfigError(str(err)) from err
     limits = file.limits
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -109,9 +109,11 @@
         about = zlib.crc32(path[2]) if len(path) == 3 else 0
         parts = self._parts(exchange.body, request, key)
         retry = headers.get(names.RETRY) == b"1"
-        time_left = min(float(int(left)), cls.deadline_ms, (self.over_at - self.loop.time()) * 1000.0)
+        now = self.loop.time()
+        waited_ms = max(now - exchange.received_at, 0.0) * 1000.0  # unread, or behind another request
+        time_left = min(min(float(int(left)), cls.deadline_ms) - waited_ms, (self.over_at - now) * 1000.0)
         if time_left <= 0:
-            raise Rejected(503, "this broker ends")
+            raise Rejected(503, "no time is left")
         return request, QueryPlan(number, tenant or 0, about, time_left, retry, None, parts, request.decode())
 
     def _check_not_open(self, request: bytes) -> None:
--- a/tests/test_decisions_retries.py
+++ b/tests/test_decisions_retries.py
@@ -1,8 +1,17 @@
 """Retries, hedged requests and when a part is late."""
 
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
 from badgerbend import api
 from badgerbend.api import Outcome
-from tests.conftest import ALL, Bench, line, of
+from badgerbend.decisions.budget import RetryBudget
+from badgerbend.decisions.rates import TrafficRates
+from badgerbend.decisions.retries import RetryPolicy
+from badgerbend.decisions.timing import EARLY_FINISH_MS
+from tests.conftest import ALL, SETTINGS, Bench, line, of
 
 
 def test_lost_parts_do_not_move_the_late_age_beyond_three_typical_latencies():
@@ -69,3 +78,13 @@
     rates = b.agg.rates
     windows = [rates.queries, rates.accepted, rates.attempts, rates.retries, *rates.tenants.values()]
     assert max(map(len, windows)) <= 5 * 12
+
+
+@pytest.mark.parametrize("write_delay_ms", [0.0, 150.0])
+def test_a_repeat_leaves_the_time_that_its_process_may_be_held_up_for(write_delay_ms):
+    settings = replace(SETTINGS, max_write_delay_ms=write_delay_ms)
+    query_class = next(c for c in settings.classes if c.effect == "keyed")
+    policy = RetryPolicy(settings, RetryBudget(settings, TrafficRates(settings)))
+    part = SimpleNamespace(query=SimpleNamespace(query_class=query_class), may_have_run={0: 1000.0})
+    margin_ms = 1000.0 + query_class.idempotency_window_ms - policy.start_before_ms(part)
+    assert margin_ms == max(EARLY_FINISH_MS, write_delay_ms)
