Connections taken as the listener closes are served; queries out of time are refused undecided

The listener's close takes what has connected, but their protocols were made by tasks that nobody waited for: a request on such a connection was reset with the process's end (a test fails without the wait).

--- a/badgerbend/net/acceptor.py
+++ b/badgerbend/net/acceptor.py
@@ -75,6 +75,11 @@
                 self.failures += 1
         self._listener.close()
 
+    async def settled(self) -> None:
+        """Returns once all that was accepted has its protocol: until then nobody else knows of these connections."""
+        if self._connecting:
+            await asyncio.wait(self._connecting)
+
     def _accept_some(self) -> None:
         failures = 0
         for _ in range(ACCEPTS_A_TURN):
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -131,8 +131,11 @@
     async def close(self, grace_s: float) -> int:
         """Stops listening, lets open exchanges end, cuts what is left after `grace_s`; returns how many."""
         loop = asyncio.get_running_loop()
+        listener = self._listener
         self.stop_listening()
         self.closing = True
+        if isinstance(listener, Acceptor):
+            await listener.settled()
         for connection in list(self.connections):
             connection.close_if_idle()
         if self.connections:
--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -138,7 +138,7 @@
         self._woken = False
         self._clients_asked.clear()
         now = self.schedule.now_ms()
-        overdue = self._pop_due(now)
+        overdue = self._refuse_unheard(self._pop_due(now))
         events, self._events = self._events, []
         if events:
             began = time.perf_counter()  # a measure of cost, never an input of a decision
@@ -264,6 +264,15 @@
         except Exception as err:
             self.observer.trouble("a sink broke", f"{type(err).__name__}: {err}")
 
+    def _refuse_unheard(self, overdue: list[int]) -> list[int]:
+        """Refuses queries whose time was over before the module heard of them, as at a process that was held up; gives
+        the others. Nothing is sent for these."""
+        unheard = {event.id for event in self._events if isinstance(event, api.Query)}
+        for query_id in unheard.intersection(overdue):
+            self._forget(query_id)
+            self._tell(self._close(self.queries[query_id], "refused", "no time was left").refused, 0.0)
+        return [query_id for query_id in overdue if query_id not in unheard]
+
     def _watch(self, query_id: int) -> None:
         """The net under the decisions: a query still open at the end of its time fails now."""
         query = self.queries.get(query_id)
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -8,7 +8,7 @@
 import pytest
 
 from badgerbend.net import acceptor
-from badgerbend.net.server import bound_socket
+from badgerbend.net.server import HttpServer, ServerLimits, bound_socket
 from tests.platform_stage import run
 from tests.sockets import until
 
@@ -85,3 +85,17 @@
             client.close()
 
     run(main)
+
+
+def test_a_request_on_a_connection_that_was_not_accepted_yet_is_answered_as_the_server_closes():
+    async def main():
+        server = HttpServer(lambda exchange: exchange.respond(200, b"ok", b"text/plain"), ServerLimits())
+        port = await server.start("127.0.0.1", 0)
+        client = socket.create_connection(("127.0.0.1", port))
+        client.send(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        assert await server.close(1.0) == 0
+        answer = await asyncio.to_thread(client.recv, 1000)
+        assert answer.startswith(b"HTTP/1.1 200")
+        client.close()
+
+    run(main)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -332,3 +332,14 @@
     rig.run(3000.0)
     assert len(rig.sent) == first
     assert sink.finals == []
+
+
+def test_a_query_whose_time_is_over_before_it_is_decided_on_is_refused_and_not_sent():
+    rig = Rig(ok())
+    sink = rig.ask(left=0.5)
+    rig.now += 5.0  # the process was held up
+    rig.run(100.0)
+    assert [how for _, how in sink.finals] == ["refused"]
+    assert rig.sent == []
+    assert rig.troubles == []
+    assert rig.driver.idle
