A query is decided on with the time that is left at that turn, not at its arrival

In a process held up between arrival and turn the driver's watch was due first and failed queries that the module would have refused, and servers were told that much too long a deadline.

Change: Driver._aged. Its test fails without it (failed instead of refused).

--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -9,6 +9,7 @@
 import heapq
 import time
 from collections.abc import Callable, Iterator, Sequence
+from dataclasses import replace
 from itertools import count
 
 from badgerbend import api
@@ -139,7 +140,7 @@
         self._clients_asked.clear()
         now = self.schedule.now_ms()
         overdue = self._refuse_unheard(self._pop_due(now))
-        events, self._events = self._events, []
+        events, self._events = [self._aged(event, now) for event in self._events], []
         if events:
             began = time.perf_counter()  # a measure of cost, never an input of a decision
             try:
@@ -264,6 +265,14 @@
         except Exception as err:
             self.observer.trouble("a sink broke", f"{type(err).__name__}: {err}")
 
+    def _aged(self, event: api.Event, now: float) -> api.Event:
+        """A query with the time that is left now. The turn may come late, in a process that is held up, and the module
+        counts from the turn: it would tell servers too long a deadline, and end the query after its client's."""
+        if not isinstance(event, api.Query):
+            return event
+        waited_ms = now - self.queries[event.id].started
+        return replace(event, time_left_ms=max(event.time_left_ms - waited_ms, 0.0))
+
     def _refuse_unheard(self, overdue: list[int]) -> list[int]:
         """Refuses queries whose time was over before the module heard of them, as at a process that was held up; gives
         the others. Nothing is sent for these."""
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -343,3 +343,14 @@
     assert rig.sent == []
     assert rig.troubles == []
     assert rig.driver.idle
+
+
+def test_a_query_that_is_decided_on_late_ends_by_its_client_s_time():
+    rig = Rig(lambda a: None)
+    sink = rig.ask(left=200.0)
+    rig.now += 100.0  # the process was held up
+    rig.run(400.0)
+    assert [how for _, how in sink.finals] == ["refused"]
+    assert all(attempt.timeout_ms <= 100.0 for _, attempt in rig.sent)
+    assert sink.finals[0][0] <= sink.asked + 200.0
+    assert rig.troubles == []
