Scale test of membership tells a restarted member by itself, not by its id

Traced: Meter told the lives of a member by id(), and that of a member which ended can be its successor's by then; what the earlier life had sent was then taken off. Change: the member itself is kept and compared.

--- a/benchmarks/scale/membership.py
+++ b/benchmarks/scale/membership.py
@@ -93,7 +93,7 @@
 class _Sent:
     """What one member has spent in its life so far."""
 
-    life: int
+    life: MeteredSwim  # itself, not its id: that of a member which ended may be another one's by now
     datagrams: int = 0
     exchanged: int = 0
     bytes: int = 0
@@ -139,13 +139,13 @@
 
     def _read(self) -> dict[str, _Sent]:
         members = ((n, m) for n, m in self.network.members.items() if isinstance(m, MeteredSwim))
-        return {n: _Sent(id(m), m.sent, m.exchanged, m.bytes, m.spent_s) for n, m in members}
+        return {n: _Sent(m, m.sent, m.exchanged, m.bytes, m.spent_s) for n, m in members}
 
     def _since(self, before: dict[str, _Sent]) -> list[_Sent]:
         out = []
         for name, row in self._read().items():
             old = before.get(name)
-            if old is None or old.life != row.life:
+            if old is None or old.life is not row.life:
                 old = _Sent(row.life)
             out.append(row.minus(old))
         return out
