--- a/tests/broker_process.py
+++ b/tests/broker_process.py
@@ -85,12 +85,13 @@
 class BrokerProcess:
     """An async context manager.
 
-    each: number of nodes per cell. behave: called by a node with each part. changes: made to the settings.
+    each: number of nodes per cell. behave: called by a node with each part. agent: the discovery agent, an `Agent` by
+    default. changes: made to the settings.
     """
 
-    def __init__(self, each=2, behave=Part.served, faults=None, **changes):
+    def __init__(self, each=2, behave=Part.served, faults=None, agent=None, **changes):
         self.each, self.behave, self.faults, self.changes = each, behave, faults, changes
-        self.agent = Agent()
+        self.agent = agent or Agent()
         self.nodes = {}
         self.arrivals = []
         self.lines = []
