The log states how old the list is and how an unconfirmed list was read again

Change: 'list read again' after failed polls, with the time without a confirmed list, polls sent and abandoned, and the age of the answered poll; the summary has version and age of the list.

--- a/badgerbend/discovery/polls.py
+++ b/badgerbend/discovery/polls.py
@@ -69,14 +69,20 @@
     def __init__(self) -> None:
         self.polls: list[Poll] = []
 
-    def add(self, poll: Poll, now: float) -> None:
-        """Adds a poll. If there are too many, aborts the oldest one if its time is up, otherwise the second oldest."""
+    def add(self, poll: Poll, now: float) -> Poll | None:
+        """Adds a poll. If there are too many, aborts the oldest one if its time is up, otherwise the second oldest.
+
+        Returns the poll that was aborted, if any.
+        """
         poll.stop_timer()
         poll.overdue_at = now
         self.polls.append(poll)
-        if len(self.polls) > MOST_OVERDUE:
-            oldest_is_due = now - self.polls[0].overdue_at > LONGEST_OVERDUE_S
-            self.polls.pop(0 if oldest_is_due else 1).abort()
+        if len(self.polls) <= MOST_OVERDUE:
+            return None
+        oldest_is_due = now - self.polls[0].overdue_at > LONGEST_OVERDUE_S
+        abandoned = self.polls.pop(0 if oldest_is_due else 1)
+        abandoned.abort()
+        return abandoned
 
     def answered(self, poll: Poll) -> None:
         """Removes an answered poll and aborts those sent before it, whose answers would contain nothing newer."""
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -93,10 +93,13 @@
         self.version: int | None = None  # the next poll requests what is newer; None: the complete list
         self.failures, self.is_following = 0, False
         self.refreshed_at: float | None = None  # when the list was last confirmed or applied, on `clock`
+        self.confirmed_at: float | None = None  # when the last answer was applied completely, on `clock`
         self.polled_at = self.answered_at = 0.0  # when the most recently answered poll was sent, and was answered
         self._applied_version: int | None = None  # the version of the list in the directory
         self._poll: Poll | None = None  # the latest poll, while it is neither answered nor overdue
         self._overdue = OverduePolls()
+        self._polls_since_answer = 0  # sent since the last answer, for the log
+        self._abandoned_since_answer = 0  # overdue polls aborted since the last answer, for the log
         self._list_steps: Iterator[bool] | None = None  # the remaining steps of the list that is being read
         self.on_applied: Callable[[], None] = lambda: None  # called when a list is applied and published
         self._timer: Timer | None = None  # for the next poll, or for the next slice
@@ -182,6 +185,7 @@
             f"user-agent: {self.user_agent}\r\n\r\n"
         )
         poll = self._poll = Poll(self.version, self.clock.time())
+        self._polls_since_answer += 1
         poll.call = self.pool.request(head.encode(), lambda reply: self._on_reply(poll, reply))
         turn_s = target.answer_timeout_s / TIMEOUT_TURNS
         wait_s = target.wait_s if self.version is not None else 0.0
@@ -204,7 +208,7 @@
         """Handles a poll that was not answered in time, by sending another one or reporting the failure."""
         if not self.polls_on_request:
             self._poll = None
-            self._overdue.add(poll, self.clock.time())
+            self._add_overdue(poll)
             waited_ms = (self.clock.time() - poll.sent_at) * 1000.0
             self._on_failure(f"no answer in time: {waited_ms:.0f} ms, {self.overdue_polls} polls stay open")
             return
@@ -260,7 +264,11 @@
             self._timer.cancel()
             self._timer = None
         if self._poll is not None:
-            self._overdue.add(self._poll, self.clock.time())
+            self._add_overdue(self._poll)
+
+    def _add_overdue(self, poll: Poll) -> None:
+        abandoned = self._overdue.add(poll, self.clock.time())
+        self._abandoned_since_answer += abandoned is not None
 
     def _next_list_step(self) -> None:
         """Processes one slice of a list; the next one follows in another turn of the event loop."""
@@ -300,10 +308,23 @@
         self._mark_refreshed(version)
         self.on_applied()
 
+    def _report_recovery(self) -> None:
+        """Reports that the service answers again, with what was tried in the meantime."""
+        if self.failures and self.confirmed_at is not None:
+            unconfirmed_ms = (self.clock.time() - self.confirmed_at) * 1000.0
+            poll_ms = (self.clock.time() - self.polled_at) * 1000.0
+            self.on_fault(
+                "list read again",
+                f"after {unconfirmed_ms:.0f} ms; the answered poll was sent {poll_ms:.0f} ms ago; "
+                f"{self._polls_since_answer} polls sent, {self._abandoned_since_answer} abandoned",
+            )
+
     def _mark_refreshed(self, version: int | None) -> None:
+        self._report_recovery()
+        self._polls_since_answer = self._abandoned_since_answer = 0
         self.version, self.failures = version, 0
         self._applied_version = version
-        self.refreshed_at = self.clock.time()
+        self.refreshed_at = self.confirmed_at = self.clock.time()
         if self.is_following:
             # The interval counts from when the last poll was sent, not from its answer, so that a poll that waited is
             # followed by the next one at once. Guards against changes that the agent receives between two polls, just
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -218,6 +218,11 @@
         self.observer.list_applied(self.watch.version, now - self.watch.polled_at, now - self.watch.answered_at)
         self.first_list.set()
 
+    def _list_age_ms(self, now: float) -> float | None:
+        """How long ago the agent last confirmed the list."""
+        confirmed_at = self.watch.confirmed_at
+        return None if confirmed_at is None else round((now - confirmed_at) * 1000.0, 1)
+
     def _sweep(self) -> None:
         now = self.loop.time()
         self.transport.sweep(now)
@@ -233,6 +238,8 @@
                 turned_away=self.server.rejected_connections,
                 accepts_failed=self.server.accepts_failed,
                 overdue_polls=self.watch.overdue_polls,
+                list_version=self.watch.version,
+                list_age_ms=self._list_age_ms(now),
             )
         self._sweeper = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
