Rejected polls release overdue ones: a crowded agent is heard again

Cause: polls that an agent dropped in its outage stayed open until later ones became overdue. Where the agent allows no further connection, each later poll fails at once and none becomes overdue: four dead polls held the agent's connections for ever, while the broker asked 23 times a second in vain. Class: cleaning up that is driven by an event that the fault itself prevents.

Change: a poll that is refused, reset or answered with an error status releases the second oldest overdue poll once it is 0.6 of the grace old; an only one later, by the length of the silence, so that a slow agent is still heard.

--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -26,12 +26,14 @@
 # following fractions of the drain grace period add up to that delay; the rest of the period is for reading the list
 # and for parts that are already on their way.
 WAIT_FRACTION, ANSWER_TIMEOUT_FRACTION, RETRY_FRACTION = 0.35, 0.15, 0.1
+REJECTED_RETRY_FRACTION = 0.2  # after a rejected poll, which is known to have failed without waiting for a timeout
 # An answer that trickles in is abandoned this long after its wait. Together with the pause before the retry and the
 # next poll, that makes one grace period.
 MAX_ANSWER_FRACTION = 0.7
 # Overdue polls that are kept open, also as fractions of the grace period. An agent that answers polls while they are
-# recent leaves the rest of the period for sending the poll and reading the answer.
-RECENT_FRACTION, SPACING_FRACTION = 0.9, 0.8
+# recent leaves the rest of the period for sending the poll and reading the answer. After the release fraction a poll
+# may be aborted for one that was rejected.
+RECENT_FRACTION, SPACING_FRACTION, RELEASE_FRACTION = 0.9, 0.8, 0.6
 MAX_WAIT_S = 5.0  # no poll waits longer, however long the grace period is
 MIN_GRACE_S = 0.1  # a shorter grace period would leave no time to poll in
 # A list that is polled on request may be far away. Whatever happened to a poll, the broker counts as notified of a
@@ -127,9 +129,10 @@
         self.pace = Pace(
             first_retry_s=RETRY_FRACTION * grace / 2,
             max_retry_s=RETRY_FRACTION * grace,
+            max_rejected_retry_s=REJECTED_RETRY_FRACTION * grace,
             min_update_interval_s=MIN_UPDATE_INTERVAL_S,
         )
-        self.retention = Retention(RECENT_FRACTION * grace, SPACING_FRACTION * grace)
+        self.retention = Retention(RECENT_FRACTION * grace, SPACING_FRACTION * grace, RELEASE_FRACTION * grace)
 
     def path(self, version: int | None) -> str:
         names = self.names
--- a/badgerbend/discovery/polls.py
+++ b/badgerbend/discovery/polls.py
@@ -22,6 +22,10 @@
 service that takes longer to answer is heard at some time."""
 
 
+RELEASE_SILENCE_FRACTION = 0.05
+"""An only overdue poll is aborted for a rejected one once it is older than this fraction of the service's silence."""
+
+
 class Timer(Protocol):
     """A scheduled callback."""
 
@@ -76,11 +80,13 @@
 class Retention:
     """Which overdue polls are kept open, in seconds since they were sent.
 
-    recent_s: all polls that are younger than this. spacing_s: among older polls, one in this time.
+    recent_s: all polls that are younger than this. spacing_s: among older polls, one in this time. release_s: polls
+    that are younger than this, also if the service rejects another one.
     """
 
     recent_s: float = 4.0
     spacing_s: float = 4.0
+    release_s: float = 2.0
 
 
 class OverduePolls:
@@ -115,6 +121,23 @@
         self._abandon(surplus)
         return len(abandoned) + 1
 
+    def release_one(self, now: float) -> bool:
+        """Aborts a poll after the service rejected a later one; returns whether it did.
+
+        The service may allow no further connection while overdue polls occupy the ones that it allows. The oldest poll
+        stays open as long as there is another one.
+        """
+        if not self.polls:
+            return False
+        releasable_s = self._retention.release_s
+        if len(self.polls) == 1:
+            releasable_s = max(releasable_s, (now - self._answered_at) * RELEASE_SILENCE_FRACTION)
+        poll = self.polls[:2][-1]
+        if now - poll.sent_at <= releasable_s:
+            return False
+        self._abandon(poll)
+        return True
+
     def answered(self, poll: Poll, now: float) -> None:
         """Removes an answered poll and aborts those sent before it, whose answers would contain nothing newer."""
         self._answered_at = now
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Protocol
 
 from badgerbend import api
@@ -37,12 +38,14 @@
 class Pace:
     """The pace of polling, in seconds.
 
-    first_retry_s, max_retry_s: bounds of the backoff after failures. min_update_interval_s: the least time between two
-    polls, which limits how often a list that changes all the time is read.
+    first_retry_s, max_retry_s: bounds of the backoff after polls that were not answered in time or not with a list.
+    max_rejected_retry_s: its upper bound after polls that the service rejected. min_update_interval_s: the least time
+    between two polls, which limits how often a list that changes all the time is read.
     """
 
     first_retry_s: float = 0.1
     max_retry_s: float = 5.0
+    max_rejected_retry_s: float = 5.0
     min_update_interval_s: float = 0.05
 
 
@@ -68,6 +71,10 @@
         """Returns the answer's version, and a reader if there are changes. Raises ListError or ValueError."""
 
 
+class PollRejectedError(ListError):
+    """The service could not be reached, or answered with an error status: it may allow no further connection."""
+
+
 class Watch:
     """Keeps a directory up to date from a target; implements the runtime's `ServerList`.
 
@@ -234,7 +241,7 @@
         except (ListError, ValueError) as err:
             if is_latest:
                 self._poll = None
-                self._on_failure(str(err))
+                self._on_failure(str(err), isinstance(err, PollRejectedError))
             else:
                 self._overdue.ended(poll)  # later polls continue
             return
@@ -254,9 +261,14 @@
         self._next_list_step()
 
     def _read(self, poll: Poll, reply: Reply) -> tuple[int | None, ListReader | None]:
-        """Returns the answer's version, and a reader if there are changes. Raises ListError or ValueError."""
-        if reply.result is not CallResult.ANSWER or reply.status != 200:
-            raise ListError(f"{reply.result.name.lower()}, HTTP status {reply.status}")
+        """Returns the answer's version, and a reader if there are changes.
+
+        Raises ListError, PollRejectedError or ValueError.
+        """
+        if reply.result is CallResult.MALFORMED:
+            raise ListError("the answer is malformed")
+        if reply.result is not CallResult.ANSWER or reply.status != HTTPStatus.OK:
+            raise PollRejectedError(f"{reply.result.name.lower()}, HTTP status {reply.status}")
         has_list = self.refreshed_at is not None
         return self.target.read(reply, poll.version, has_list, self.directory, self.now_ms(), self.unix_s())
 
@@ -333,14 +345,17 @@
             pause = self.polled_at + self.target.pace.min_update_interval_s - self.clock.time()
             self._timer = self.clock.call_later(max(pause, 0.0), self._send_poll)
 
-    def _on_failure(self, reason: str) -> None:
+    def _on_failure(self, reason: str, is_rejected: bool = False) -> None:
         self.version = None
         self.failures += 1
+        if is_rejected and self._overdue.release_one(self.clock.time()):
+            self._abandoned_since_answer += 1
         self.on_fault("list not read", reason)
         if self.polls_on_request:
             self.is_following = False
             self.on_update(api.EndpointUpdate(api.UpdateKind.FAILED, ()))
         elif self.is_following:
             pace = self.target.pace
-            delay_s = min(pace.first_retry_s * 2.0 ** min(self.failures - 1, 10), pace.max_retry_s)
+            longest_s = pace.max_rejected_retry_s if is_rejected else pace.max_retry_s
+            delay_s = min(pace.first_retry_s * 2.0 ** min(self.failures - 1, 10), longest_s)
             self._timer = self.clock.call_later(delay_s * self.rng.uniform(0.5, 1.0), self._send_poll)
--- a/tests/test_overdue_polls.py
+++ b/tests/test_overdue_polls.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from badgerbend.discovery.members import RECENT_FRACTION, SPACING_FRACTION
+from badgerbend.discovery.members import RECENT_FRACTION, RELEASE_FRACTION, SPACING_FRACTION
 from badgerbend.discovery.polls import MAX_OVERDUE_LIMIT, MAX_OVERDUE_S, OverduePolls, Poll, Retention
 
 GRACE_S = 0.5
-RETENTION = Retention(RECENT_FRACTION * GRACE_S, SPACING_FRACTION * GRACE_S)
+RETENTION = Retention(RECENT_FRACTION * GRACE_S, SPACING_FRACTION * GRACE_S, RELEASE_FRACTION * GRACE_S)
 OVERDUE_AFTER_S = 0.075
 RETRY_S = (0.025, 0.05)
 GIVEN_UP_S = 60.0
@@ -84,3 +84,23 @@
         poll = answering if at == 10 else overdue_poll(at / 10.0)
         overdue.add(poll, at / 10.0 + OVERDUE_AFTER_S)
     assert answering in overdue.polls
+
+
+def test_a_rejected_poll_releases_the_second_oldest_one_and_not_a_young_one():
+    overdue = OverduePolls(RETENTION, 0.0)
+    polls = [overdue_poll(at) for at in (0.0, 0.2, 0.4)]
+    for poll in polls:
+        overdue.add(poll, poll.sent_at + OVERDUE_AFTER_S)
+    assert not overdue.release_one(0.45)
+    assert overdue.release_one(0.55)
+    assert [poll.call.aborted for poll in polls] == [False, True, False]
+    assert not overdue.release_one(0.55)
+
+
+def test_an_only_poll_is_released_later_the_longer_the_service_is_silent():
+    for silence_s, releasable_s in ((2.0, RETENTION.release_s), (60.0, 3.0)):
+        overdue = OverduePolls(RETENTION, 0.0)
+        overdue.add(overdue_poll(silence_s - releasable_s), silence_s)
+        assert not overdue.release_one(silence_s - 0.01)
+        assert overdue.release_one(silence_s + 0.01)
+        assert not overdue.release_one(silence_s + 0.02)
