--- a/tests/agent_faults.py
+++ b/tests/agent_faults.py
@@ -34,13 +34,14 @@
 class Case:
     """One behaviour of the agent. before, after: attributes of the agent before and after the drain is published.
 
-    outage_s: the agent is silent for this long before. is_dead: connections that are open when the drain is published
-    are dead from then on.
+    outage_s: the agent is silent for this long before. settle_s: the agent behaves as after the drain for this long
+    before. is_dead: connections that are open when the drain is published are dead from then on.
     """
 
     before: dict[str, object] = field(default_factory=dict)
     after: dict[str, object] = field(default_factory=dict)
     outage_s: float = 3.3
+    settle_s: float = 0.0
     is_dead: bool = False
     told: Told = Told.PUBLISHED
 
@@ -105,10 +106,14 @@
     "dead connections after slow ones": Case(
         before={"delay_s": 0.5}, after={"delay_s": 0.0}, outage_s=0.0, is_dead=True
     ),
+    "dead connections after many slow ones": Case(
+        before={"delay_s": 1.0}, after={"delay_s": 0.0}, outage_s=0.0, settle_s=2.0, is_dead=True
+    ),
 }
 
 
 async def play(case):
+    """Plays a case to a broker process, with queries until the grace period is long over."""
     agent = RoughAgent()
     settings = {"obligations.drainGraceMs": GRACE_S * 1000.0}
     async with BrokerProcess(agent=agent, settings=settings) as broker:
@@ -120,6 +125,7 @@
         polls_per_s = (len(agent.requests) - polls) / case.outage_s if case.outage_s else 0.0
         connections = len(agent.http.connections)
         set_all(agent, case.after)
+        await asyncio.sleep(case.settle_s)
         if case.is_dead:
             agent.http.silence_connections()
         published_at = time.monotonic()
