A drain that the old agent is telling survives SIGHUP

Parts went to a server that drains for seconds after a new configuration moved discovery, though the old agent was answering with the drain.

Cause: SIGHUP aborted the poll whose answer was on the way. The new agent was asked at once, but one that is silent just then tells the drain only at its return.

Change: the polls of the previous address stay open, four at most, until the new one has answered; what they bring is applied.

--- a/badgerbend/discovery/keyed.py
+++ b/badgerbend/discovery/keyed.py
@@ -15,7 +15,7 @@
 from badgerbend.discovery.directory import SLICE_SIZE, Directory, Entry, ListReader
 from badgerbend.discovery.members import parse_address
 from badgerbend.discovery.polls import Timer
-from badgerbend.discovery.watch import Clock
+from badgerbend.discovery.target import Clock
 
 STATES = {"ready": api.EndpointState.READY, "draining": api.EndpointState.DRAINING, "gone": api.EndpointState.REMOVED}
 MAX_REPORTED_ROWS = 5  # rejected rows reported per slice
--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -15,7 +15,7 @@
 from badgerbend import api
 from badgerbend.discovery.directory import DepartureParser, Directory, Entry, ListError, ListReader, RowParser
 from badgerbend.discovery.polls import Retention
-from badgerbend.discovery.watch import Pace
+from badgerbend.discovery.target import Pace
 from badgerbend.net.client import Reply
 
 MAX_BYTES = 4_194_304  # of one answer
--- a/badgerbend/discovery/polls.py
+++ b/badgerbend/discovery/polls.py
@@ -146,6 +146,11 @@
         for other in older:
             other.abort()
 
+    def keep_latest(self, count: int) -> None:
+        """Aborts all but the latest polls."""
+        for poll in self.polls[:-count]:
+            self._abandon(poll)
+
     def ended(self, poll: Poll) -> None:
         """Removes a poll that failed."""
         self.polls.remove(poll)
--- /dev/null
+++ b/badgerbend/discovery/predecessors.py
@@ -0,0 +1,63 @@
+"""Services of a list that a watch has polled before it moved to another one, and that may still answer open polls."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from badgerbend.discovery.polls import OverduePolls, Poll
+from badgerbend.discovery.target import Target
+from badgerbend.net.client import Pool
+
+MAX_PREDECESSORS = 2
+"""The number of services whose polls are left open: the one that answered last, and the latest one."""
+
+MAX_POLLS = 4
+"""The number of polls that are left open at each of them."""
+
+
+@dataclass(slots=True, eq=False)
+class Predecessor:
+    """A service that is no longer polled. applied_version: the version of the last list of it that was applied."""
+
+    target: Target
+    pool: Pool
+    polls: OverduePolls
+    applied_version: int | None
+
+    def is_news(self, version: int | None) -> bool:
+        """Whether a list of this version is newer than the last one."""
+        return version is not None and (self.applied_version is None or version > self.applied_version)
+
+    def close(self) -> None:
+        """Aborts the open polls and closes the connections."""
+        self.polls.abort()
+        self.pool.close()
+
+
+class Predecessors:
+    """The predecessors of the current service, oldest first.
+
+    Guards against changes that the broker counts as notified of because the previous service was answering with them,
+    and that reach it late because the new service is silent or slow.
+    """
+
+    def __init__(self) -> None:
+        self._services: list[Predecessor] = []
+
+    def add(self, service: Predecessor) -> None:
+        """Adds the latest predecessor. Its latest polls stay open, the rest of its connections are closed."""
+        service.polls.keep_latest(MAX_POLLS)
+        service.pool.close_idle()
+        self._services.append(service)
+        if len(self._services) > MAX_PREDECESSORS:
+            self._services.pop(1).close()  # the first one is the last that has answered
+
+    def owner_of(self, poll: Poll) -> Predecessor | None:
+        """Returns the service to which a poll was sent, unless it is the current one."""
+        return next((service for service in self._services if poll in service.polls.polls), None)
+
+    def close(self) -> None:
+        """Closes all predecessors."""
+        services, self._services = self._services, []
+        for service in services:
+            service.close()
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -10,13 +10,13 @@
 
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Protocol
 
 from badgerbend import api
 from badgerbend.discovery.directory import SLICE_SIZE, Directory, ListError, ListReader
-from badgerbend.discovery.polls import OverduePolls, Poll, Retention, Timer
+from badgerbend.discovery.polls import OverduePolls, Poll, Timer
+from badgerbend.discovery.predecessors import Predecessor, Predecessors
+from badgerbend.discovery.target import Clock, Target
 from badgerbend.net.client import CallResult, Pool, PoolLimits, Reply
 
 # The answer timeout is counted in turns. Each lasts its share of the timeout or, if the event loop comes round later
@@ -26,51 +26,6 @@
 CONNECT_TIMEOUT_S = 4.0  # TCP repeats a lost handshake after 1 s and after 3 s
 
 
-class Clock(Protocol):
-    """Time and timers; asyncio's event loop implements it."""
-
-    def time(self) -> float: ...
-
-    def call_later(self, delay: float, callback: Callable[[], None], /) -> Timer: ...
-
-
-@dataclass(frozen=True, slots=True)
-class Pace:
-    """The pace of polling, in seconds.
-
-    first_retry_s, max_retry_s: bounds of the backoff after polls that were not answered in time or not with a list.
-    max_rejected_retry_s: its upper bound after polls that the service rejected. min_update_interval_s: the least time
-    between two polls, which limits how often a list that changes all the time is read.
-    """
-
-    first_retry_s: float = 0.1
-    max_retry_s: float = 5.0
-    max_rejected_retry_s: float = 5.0
-    min_update_interval_s: float = 0.05
-
-
-class Target(Protocol):
-    """What a watch requests from the service of a list, and how it reads the answers."""
-
-    host: str
-    port: int
-    polls_on_request: bool  # whether polls are sent only when the aggregator requests them
-    max_bytes: int
-    pace: Pace
-    retention: Retention
-    wait_s: float  # how long a poll for a newer version may wait at the service
-    answer_timeout_s: float  # after the wait, a poll is abandoned when no byte has arrived for this long
-    max_answer_s: float  # a poll is abandoned this long after its wait, even if bytes are still arriving
-
-    def path(self, version: int | None) -> str:
-        """Returns the path and query string for what is newer than `version`, or for the complete list if None."""
-
-    def read(
-        self, reply: Reply, version: int | None, has_list: bool, directory: Directory, now_ms: float, unix_s: float
-    ) -> tuple[int | None, ListReader | None]:
-        """Returns the answer's version, and a reader if there are changes. Raises ListError or ValueError."""
-
-
 class PollRejectedError(ListError):
     """The service could not be reached, or answered with an error status: it may allow no further connection."""
 
@@ -107,6 +62,7 @@
         self._applied_version: int | None = None  # the version of the list in the directory
         self._poll: Poll | None = None  # the latest poll, while it is neither answered nor overdue
         self._overdue = OverduePolls(target.retention, clock.time())
+        self._predecessors = Predecessors()  # services that were polled before, until the current one has answered
         self._polls_since_answer = 0  # sent since the last answer, for the log
         self._abandoned_since_answer = 0  # overdue polls aborted since the last answer, for the log
         self._list_steps: Iterator[bool] | None = None  # the remaining steps of the list that is being read
@@ -128,16 +84,26 @@
 
     def switch_target(self, target: Target) -> None:
         """Polls another service from now on. The current list stays until the new service has answered; versions of
-        the two services are unrelated."""
+        the two services are unrelated. What the old service still answers until then is applied."""
         self._finish_list()
-        self._stop_polls()
-        self.pool.close()
+        self._retire_service()
         self.target, self.version, self.failures = target, None, 0
         self._applied_version = None
         self.pool = self._pool()
+        self._overdue = OverduePolls(target.retention, self.clock.time())
         if self.is_following:
             self._send_poll()
 
+    def _retire_service(self) -> None:
+        """Leaves the polls of the current service open."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._poll is not None:
+            self._add_overdue(self._poll)
+            self._poll = None
+        self._predecessors.add(Predecessor(self.target, self.pool, self._overdue, self._applied_version))
+
     def start(self) -> None:
         """Starts watching in push mode; in ask mode the aggregator sends the first request."""
         if not self.polls_on_request:
@@ -172,6 +138,7 @@
         self.is_following = False
         self._stop_polls()
         self.pool.close()
+        self._predecessors.close()
 
     def _stop_polls(self) -> None:
         """Aborts all polls, and drops the list that is being read."""
@@ -233,11 +200,15 @@
 
     def _on_reply(self, poll: Poll, reply: Reply) -> None:
         poll.stop_timer()
+        predecessor = self._predecessors.owner_of(poll)
+        if predecessor is not None:
+            self._on_reply_of_predecessor(predecessor, poll, reply)
+            return
         is_latest = poll is self._poll
         if not is_latest:
             self._finish_list()
         try:
-            version, reader = self._read(poll, reply)
+            version, reader = self._read(self.target, poll, reply)
         except (ListError, ValueError) as err:
             if is_latest:
                 self._poll = None
@@ -260,7 +231,25 @@
         self._list_steps = self._list_reading_steps(reader, version)
         self._next_list_step()
 
-    def _read(self, poll: Poll, reply: Reply) -> tuple[int | None, ListReader | None]:
+    def _on_reply_of_predecessor(self, predecessor: Predecessor, poll: Poll, reply: Reply) -> None:
+        """Applies what a service that is no longer polled answers before the current one has answered."""
+        predecessor.polls.ended(poll)
+        try:
+            version, reader = self._read(predecessor.target, poll, reply)
+            if reader is None or not predecessor.is_news(version):
+                return
+            for _ in self._applying_steps(reader):
+                pass
+        except (ListError, ValueError) as err:
+            self.on_fault("list not read", f"{err}, from the previous address")
+            return
+        predecessor.applied_version = version
+        self.on_fault(
+            "list read late", f"after {(self.clock.time() - poll.sent_at) * 1000.0:.0f} ms, by the previous address"
+        )
+        self.on_applied()
+
+    def _read(self, target: Target, poll: Poll, reply: Reply) -> tuple[int | None, ListReader | None]:
         """Returns the answer's version, and a reader if there are changes.
 
         Raises ListError, PollRejectedError or ValueError.
@@ -270,7 +259,7 @@
         if reply.result is not CallResult.ANSWER or reply.status != HTTPStatus.OK:
             raise PollRejectedError(f"{reply.result.name.lower()}, HTTP status {reply.status}")
         has_list = self.refreshed_at is not None
-        return self.target.read(reply, poll.version, has_list, self.directory, self.now_ms(), self.unix_s())
+        return target.read(reply, poll.version, has_list, self.directory, self.now_ms(), self.unix_s())
 
     def _replace_latest_poll(self, poll: Poll) -> None:
         """Makes the latest poll an overdue one after an earlier poll was answered: it may still bring changes."""
@@ -302,6 +291,12 @@
             self._timer = self.clock.call_later(0.0, self._next_list_step)
 
     def _list_reading_steps(self, reader: ListReader, version: int | None) -> Iterator[bool]:
+        """Reads, applies and publishes a list of the current service, one slice per step."""
+        yield from self._applying_steps(reader)
+        self._mark_refreshed(version)
+        self.on_applied()
+
+    def _applying_steps(self, reader: ListReader) -> Iterator[bool]:
         """Reads, applies and publishes a list, one slice per step.
 
         A short list takes a single step, so that it is in effect before a query of the same turn is decided on.
@@ -318,8 +313,6 @@
             self.on_update(update)
             if is_long:
                 yield False
-        self._mark_refreshed(version)
-        self.on_applied()
 
     def _report_recovery(self) -> None:
         """Reports that the service answers again, with what was tried in the meantime."""
@@ -334,6 +327,7 @@
 
     def _mark_refreshed(self, version: int | None) -> None:
         self._report_recovery()
+        self._predecessors.close()
         self._polls_since_answer = self._abandoned_since_answer = 0
         self.version, self.failures = version, 0
         self._applied_version = version
--- /dev/null
+++ b/tests/test_incident_moved_agent.py
@@ -0,0 +1,79 @@
+"""Guards against losing a drain that the agent is telling as a new configuration moves discovery to another address.
+
+SIGHUP aborted the poll that the old agent was answering. The new agent was asked at once, but one that is silent or
+slow at that moment told the drain only seconds later.
+"""
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.agent_faults import DRAINED, GRACE_S, SHARDS_ASKED, SLACK_S
+from tests.broker_process import BrokerProcess, request
+from tests.platform_stage import file_of, run
+from tests.rough_agent import RoughAgent
+from tests.sockets import until
+
+SETTINGS = {"obligations.drainGraceMs": GRACE_S * 1000.0}
+ANSWER_DELAY_S = 0.2  # of the old agent
+QUERIES = 40
+
+
+def move(broker, agent):
+    """Writes a configuration that names another agent, and sends SIGHUP."""
+    file = file_of(agent.http.address[1], listen=broker.port, settings=SETTINGS)
+    (Path(broker.folder.name) / "config.json").write_bytes(file)
+    broker.process.send_signal(signal.SIGHUP)
+
+
+async def sent_after_the_grace_period(broker, told_at, drained):
+    await asyncio.sleep(told_at + GRACE_S + SLACK_S - time.monotonic())
+    queries = [request(f"late{number}", SHARDS_ASKED) for number in range(QUERIES)]
+    for query in queries:
+        assert (await broker.ask(query)).status == 200
+    return [arrival for query in queries for arrival in broker.arrived(query) if arrival.node in drained]
+
+
+@pytest.mark.parametrize("moves", [1, 3])
+def test_a_drain_that_the_old_agent_is_telling_is_obeyed_while_the_new_one_is_silent(moves):
+    async def main():
+        new_agents = [RoughAgent() for _ in range(moves)]
+        for new_agent in new_agents:
+            await new_agent.start()
+            new_agent.silent = True
+        async with BrokerProcess(agent=RoughAgent(), settings=SETTINGS) as broker:
+            broker.agent.computes_early = True
+            broker.agent.delay_s = ANSWER_DELAY_S
+            polls = len(broker.agent.requests)
+            await until(lambda: len(broker.agent.requests) > polls + 2 and broker.agent.watches)
+            broker.put(DRAINED[0], "draining")  # answers the waiting poll
+            told_at = time.monotonic()
+            for number, new_agent in enumerate(new_agents, start=1):
+                move(broker, new_agent)
+                await until(lambda number=number: len(broker.logged("reloaded")) == number)
+            assert await sent_after_the_grace_period(broker, told_at, DRAINED[:1]) == []
+        for new_agent in new_agents:
+            await new_agent.close()
+
+    run(main)
+
+
+def test_the_list_of_the_new_agent_prevails_over_a_late_answer_of_the_old_one():
+    async def main():
+        new_agent = RoughAgent()
+        await new_agent.start()
+        async with BrokerProcess(agent=RoughAgent(), settings=SETTINGS) as broker:
+            broker.agent.computes_early = True
+            broker.agent.delay_s = 2 * ANSWER_DELAY_S
+            polls = len(broker.agent.requests)
+            await until(lambda: len(broker.agent.requests) > polls + 2)
+            for name, node in broker.nodes.items():
+                new_agent.put(name, node.port, node.cell, "draining" if name in DRAINED else "up")
+            move(broker, new_agent)
+            assert await sent_after_the_grace_period(broker, time.monotonic(), DRAINED) == []
+        await new_agent.close()
+
+    run(main)
--- a/tests/test_planted_defects.py
+++ b/tests/test_planted_defects.py
@@ -34,6 +34,25 @@
     "tests/known_red.py": {"report": {"longrepr"}},  # defined by pytest
     "tests/modelvoters.py": {"new": {"__dict__"}},
     "tests/mutants.py": {"CountsVotesTwice": {"counted"}},
+    "tests/rough_agent.py": {
+        "RoughAgent": {
+            "_begin",
+            "_busy_until",
+            "_stale",
+            "answered_at",
+            "answers_stale",
+            "closes_after_answer",
+            "computes_early",
+            "connect_delay_s",
+            "excess",
+            "max_connections",
+            "piece_interval_s",
+            "pieces",
+            "receive",
+            "service_s",
+            "speak",
+        },
+    },
     "tests/test_feed_faults.py": {"TamperingRelay": {"tamper"}},
     "tests/test_site_service.py": {"BrokerInFolder": {"folder"}},
 }
--- a/tests/test_silent_agent.py
+++ b/tests/test_silent_agent.py
@@ -110,6 +110,8 @@
 
     def close(self): ...
 
+    def close_idle(self): ...
+
 
 class Timer:
     cancelled = False
