A start waits up to two seconds for the list of a slow agent

A process that starts counts as told from its first moment. It waited a grace (0.5 s) for the agent's list and then listened with the known one, so with an agent that takes 0.8 s it sent parts to servers that had drained before it started.

Change: the start waits up to 2 s, not a grace. A silent agent delays it that long; brokers have 6 s to be ready.

Measured (loopback, real process): the new test fails without the change with an agent slow by 0.8 and 1.5 s and passes with it; with 0.3 s it passes both ways. An agent that takes over 2 s is still started without.

--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -12,7 +12,7 @@
 from badgerbend import api
 from badgerbend.decisions import Aggregator
 from badgerbend.discovery.directory import Directory, ListError
-from badgerbend.discovery.members import MIN_GRACE_S, MembersTarget, departure_parser, row_parser
+from badgerbend.discovery.members import MembersTarget, departure_parser, row_parser
 from badgerbend.discovery.wall_clock import SteadyUnixClock
 from badgerbend.discovery.watch import Watch
 from badgerbend.frames.transport import FrameLimits, FrameTransport
@@ -40,6 +40,7 @@
 # the longest deadline if that is shorter.
 KILL_TIMEOUT_S = 3.0
 KILL_MARGIN_S = 0.3  # allows for a signal that is noticed late and for the time in which the last answer is sent
+FIRST_LIST_TIMEOUT_S = 2.0  # brokers have to listen within 6 s of their start, and a slow process needs time to load
 DEFAULT_CONNECT_TIMEOUT_S = 10.0  # for opening a connection if the settings state no limit
 
 
@@ -113,7 +114,7 @@
 
         In push mode the broker counts as notified of what the agent has from the start of the process, while the known
         list may be old: a slow process has used up a drain grace period by the time it listens. So even a slow agent
-        gets the length of a drain grace period to answer first. A silent agent does not delay the start any longer.
+        gets some time to answer first. A silent agent does not delay the start any longer.
         """
         self._load_known_list()
         settle_memory()
@@ -137,7 +138,7 @@
 
     async def _wait_for_first_list(self) -> None:
         try:
-            async with asyncio.timeout(max(self.config.drain_grace_ms / 1000.0, MIN_GRACE_S)):
+            async with asyncio.timeout(max(self.config.drain_grace_ms / 1000.0, FIRST_LIST_TIMEOUT_S)):
                 await self.first_list.wait()
         except TimeoutError:
             self.observer.report_fault("list not read", "the agent has not answered yet; listening with the known list")
--- a/tests/agent_faults.py
+++ b/tests/agent_faults.py
@@ -15,6 +15,7 @@
 
 GRACE_S = 0.5
 SLACK_S = 0.05
+SETTINGS = {"obligations.drainGraceMs": GRACE_S * 1000.0}
 WARM_UP_S = 1.2
 QUERY_INTERVAL_S = 0.02
 QUERIES_AFTER_S = 1.5  # queries are sent for this long after the grace period
@@ -115,8 +116,7 @@
 async def play(case):
     """Plays a case to a broker process, with queries until the grace period is long over."""
     agent = RoughAgent()
-    settings = {"obligations.drainGraceMs": GRACE_S * 1000.0}
-    async with BrokerProcess(agent=agent, settings=settings) as broker:
+    async with BrokerProcess(agent=agent, settings=SETTINGS) as broker:
         set_all(agent, case.before)
         await asyncio.sleep(WARM_UP_S)
         polls = len(agent.requests)
--- a/tests/test_incident_crowded_agent.py
+++ b/tests/test_incident_crowded_agent.py
@@ -7,9 +7,14 @@
 """
 
 import asyncio
+import time
 
-from tests.agent_faults import CASES, play
+import pytest
+
+from tests.agent_faults import CASES, DRAINED, GRACE_S, SETTINGS, SLACK_S, ask_until, play
+from tests.broker_process import BrokerProcess
 from tests.platform_stage import run
+from tests.rough_agent import RoughAgent
 
 
 def late_by_case(names):
@@ -23,6 +28,16 @@
     return run(main)
 
 
+async def restart(broker):
+    """Kills the process and starts it again. Returns when it was started."""
+    broker.process.kill()
+    await asyncio.to_thread(broker.process.wait)
+    broker.lines.clear()
+    started_at = time.monotonic()
+    await broker.start()
+    return started_at
+
+
 # Guards against giving up the polls that a slow agent is about to answer.
 def test_a_drain_is_obeyed_once_an_agent_that_is_slow_after_an_outage_has_answered():
     assert late_by_case([name for name in CASES if name.startswith("slow")]) == {}
@@ -36,3 +51,21 @@
 # Guards against giving up an answer that has begun to arrive.
 def test_a_drain_is_obeyed_once_an_answer_in_pieces_is_complete():
     assert late_by_case([name for name in CASES if "pieces" in name]) == {}
+
+
+# Guards against a start with the known list, which may be older than a drain, while a slow agent is about to answer.
+@pytest.mark.parametrize("delay_s", [0.3, 0.8, 1.5])
+def test_a_process_that_starts_obeys_the_drains_of_a_slow_agent(delay_s):
+    async def main():
+        async with BrokerProcess(agent=RoughAgent(), settings=SETTINGS) as broker:
+            broker.changes["known"] = broker.agent.full_list()
+            for name in DRAINED:
+                broker.put(name, "draining")
+            broker.agent.delay_s = delay_s
+            started_at = await restart(broker)
+            await ask_until(broker, time.monotonic() + delay_s + 2 * GRACE_S)
+            late = [arrival for arrival in broker.arrivals if arrival.at > started_at + GRACE_S + SLACK_S]
+            assert late
+            assert [arrival for arrival in late if arrival.node in DRAINED] == []
+
+    run(main)
--- a/tests/test_incident_moved_agent.py
+++ b/tests/test_incident_moved_agent.py
@@ -11,13 +11,12 @@
 
 import pytest
 
-from tests.agent_faults import DRAINED, GRACE_S, SHARDS_ASKED, SLACK_S
+from tests.agent_faults import DRAINED, GRACE_S, SETTINGS, SHARDS_ASKED, SLACK_S
 from tests.broker_process import BrokerProcess, request
 from tests.platform_stage import file_of, run
 from tests.rough_agent import RoughAgent
 from tests.sockets import until
 
-SETTINGS = {"obligations.drainGraceMs": GRACE_S * 1000.0}
 ANSWER_DELAY_S = 0.2  # of the old agent
 QUERIES = 40
 
