A slow agent that has restarted and counts versions anew is heard

Where every poll is answered late, each answer with a version below the one in force was dropped as outdated; after a restart of the agent that is every answer, and its drains were never obeyed.

Change: only the answer to a poll that was sent before the last answer came can be outdated. A lower version in a later poll's answer is a service that counts anew, as it already was for polls answered in time.

Measured (loopback, real process, agent slow by 0.3 s): the new test failed before, parts reached drained servers to its end, and passes. A restart is noticed within 2 s, not within a grace.

--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -217,8 +217,8 @@
                 self._overdue.ended(poll)  # later polls continue
             return
         if not is_latest:
-            if self._applied_version is not None and (version is None or version < self._applied_version):
-                self._overdue.ended(poll)  # a later poll has already brought a newer version
+            if self._is_outdated(poll, version):
+                self._overdue.ended(poll)
                 return
             self.on_fault("list read late", f"after {(self.clock.time() - poll.sent_at) * 1000.0:.0f} ms")
             self._replace_latest_poll(poll)
@@ -231,6 +231,15 @@
         self._list_steps = self._list_reading_steps(reader, version)
         self._next_list_step()
 
+    def _is_outdated(self, poll: Poll, version: int | None) -> bool:
+        """Whether an overdue poll was answered with less than another poll has brought in the meantime.
+
+        A lower version in the answer to a poll that was sent afterwards is that of a service that counts anew.
+        """
+        if self._applied_version is None or poll.sent_at >= self.answered_at:
+            return False
+        return version is None or version < self._applied_version
+
     def _on_reply_of_predecessor(self, predecessor: Predecessor, poll: Poll, reply: Reply) -> None:
         """Applies what a service that is no longer polled answers before the current one has answered."""
         predecessor.polls.ended(poll)
--- a/tests/test_incident_crowded_agent.py
+++ b/tests/test_incident_crowded_agent.py
@@ -28,6 +28,10 @@
     return run(main)
 
 
+OLD_VERSION = 1000
+RESTART_NOTICED_S = 2.0
+
+
 async def restart(broker):
     """Kills the process and starts it again. Returns when it was started."""
     broker.process.kill()
@@ -69,3 +73,24 @@
             assert [arrival for arrival in late if arrival.node in DRAINED] == []
 
     run(main)
+
+
+# Guards against taking all answers of a slow agent that has restarted, and counts versions anew, for outdated ones.
+def test_a_drain_is_obeyed_when_a_slow_agent_has_restarted():
+    async def main():
+        agent = RoughAgent()
+        agent.rev = OLD_VERSION
+        async with BrokerProcess(agent=agent, settings=SETTINGS) as broker:
+            agent.delay_s = 0.3
+            await asyncio.sleep(RESTART_NOTICED_S)
+            agent.rev = 0
+            agent.changes.clear()
+            for name in broker.nodes:
+                broker.put(name, "draining" if name in DRAINED else "up")
+            noticed_at = time.monotonic() + RESTART_NOTICED_S
+            await ask_until(broker, noticed_at + GRACE_S)
+            late = [arrival for arrival in broker.arrivals if arrival.at > noticed_at]
+            assert late
+            assert [arrival for arrival in late if arrival.node in DRAINED] == []
+
+    run(main)
