--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -182,21 +182,18 @@
 
     def _on_timeout(self, poll: Poll) -> None:
         """Handles a poll that was not answered in time, by sending another one or reporting the failure."""
-        if not self.polls_on_request:
-            self._poll = None
-            self._add_overdue(poll)
-            waited_ms = (self.clock.time() - poll.sent_at) * 1000.0
-            self._on_failure(f"no answer in time: {waited_ms:.0f} ms, {self.overdue_polls} polls stay open")
-            return
-        self._stop_latest()
-        if self.version is not None:
+        self._poll = None
+        self._add_overdue(poll)
+        waited_ms = (self.clock.time() - poll.sent_at) * 1000.0
+        reason = f"no answer in time: {waited_ms:.0f} ms, {self.overdue_polls} polls stay open"
+        if self.polls_on_request and self.version is not None:
             # The broker counts as notified of what a silent watch misses, and the aggregator's backoff after a failure
             # may be longer than that allows. So the next poll is sent at once.
             self.version = None
-            self.on_fault("list not read", "the long poll was not answered in time; requesting the complete list")
+            self.on_fault("list not read", reason)
             self._send_poll()
         else:
-            self._on_failure("no answer in time")
+            self._on_failure(reason)
 
     def _on_reply(self, poll: Poll, reply: Reply) -> None:
         poll.stop_timer()
@@ -222,6 +219,7 @@
                 return
             self.on_fault("list read late", f"after {(self.clock.time() - poll.sent_at) * 1000.0:.0f} ms")
             self._replace_latest_poll(poll)
+            self.is_following = True  # in ask mode, the aggregator sends no request after an update
         self._poll = None
         self._overdue.answered(poll, self.clock.time())
         self.polled_at, self.answered_at = poll.sent_at, self.clock.time()
--- a/tests/test_incident_crowded_agent.py
+++ b/tests/test_incident_crowded_agent.py
@@ -15,6 +15,7 @@
 from tests.broker_process import BrokerProcess
 from tests.platform_stage import run
 from tests.rough_agent import RoughAgent
+from tests.sockets import until
 
 
 def late_by_case(names):
@@ -30,6 +31,7 @@
 
 OLD_VERSION = 1000
 RESTART_NOTICED_S = 2.0
+NOTIFIED_S = 6.0  # after the agent has a change and can be reached, whatever becomes of a call
 
 
 async def restart(broker):
@@ -94,3 +96,28 @@
             assert [arrival for arrival in late if arrival.node in DRAINED] == []
 
     run(main)
+
+
+# Guards against giving up each call to a slow agent after two seconds where the list is polled on request.
+def test_a_list_that_is_polled_on_request_is_read_from_an_agent_that_is_slow_after_an_outage():
+    async def main():
+        settings = SETTINGS | {"registryMode": "ask"}
+        async with BrokerProcess(agent=RoughAgent(), settings=settings) as broker:
+            agent = broker.agent
+            await until(lambda: broker.logged("list"))
+            agent.silent = True
+            await until(lambda: broker.logged("trouble", "list not read"))
+            agent.delay_s = 2.5
+            broker.put("s0", "draining")
+            published_at = time.monotonic()
+            agent.speak()
+            await ask_until(broker, published_at + NOTIFIED_S + 2 * GRACE_S)
+            late = [
+                arrival for arrival in broker.arrivals if arrival.at > published_at + NOTIFIED_S + GRACE_S + SLACK_S
+            ]
+            assert late
+            assert [arrival for arrival in late if arrival.node == "s0"] == []
+            broker.put("s1", "draining")
+            await until(lambda: any("s1" in line["names"] for line in broker.logged("list")))
+
+    run(main)
