Polls of a slow agent stay open through a move, and a crowded one is released sooner

With an agent that takes 1.2 s, SIGHUP kept only the four latest polls, and the agent answered older ones first; with three connections allowed, a pause of 0.15 s and failing connects used up the rest of the grace.

Change: all polls of the address that answered last stay open at a move, four of each later one; a rejected poll releases one that is 0.4 of the grace old, not 0.6.

A test of the release takes its time from the constant now and checks both sides of it as before.

--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -33,7 +33,7 @@
 # Overdue polls that are kept open, also as fractions of the grace period. An agent that answers polls while they are
 # recent leaves the rest of the period for sending the poll and reading the answer. After the release fraction a poll
 # may be aborted for one that was rejected.
-RECENT_FRACTION, SPACING_FRACTION, RELEASE_FRACTION = 0.9, 0.8, 0.6
+RECENT_FRACTION, SPACING_FRACTION, RELEASE_FRACTION = 0.9, 0.8, 0.4
 MAX_WAIT_S = 5.0  # no poll waits longer, however long the grace period is
 MIN_GRACE_S = 0.1  # a shorter grace period would leave no time to poll in
 # A list that is polled on request may be far away. Whatever happened to a poll, the broker counts as notified of a
--- a/badgerbend/discovery/predecessors.py
+++ b/badgerbend/discovery/predecessors.py
@@ -11,8 +11,8 @@
 MAX_PREDECESSORS = 2
 """The number of services whose polls are left open: the one that answered last, and the latest one."""
 
-MAX_POLLS = 4
-"""The number of polls that are left open at each of them."""
+MAX_LATER_POLLS = 4
+"""The number of polls that are left open at services after the one that answered last."""
 
 
 @dataclass(slots=True, eq=False)
@@ -45,8 +45,9 @@
         self._services: list[Predecessor] = []
 
     def add(self, service: Predecessor) -> None:
-        """Adds the latest predecessor. Its latest polls stay open, the rest of its connections are closed."""
-        service.polls.keep_latest(MAX_POLLS)
+        """Adds the latest predecessor; its idle connections are closed."""
+        if self._services:
+            service.polls.keep_latest(MAX_LATER_POLLS)
         service.pool.close_idle()
         self._services.append(service)
         if len(self._services) > MAX_PREDECESSORS:
--- a/tests/test_overdue_polls.py
+++ b/tests/test_overdue_polls.py
@@ -91,10 +91,11 @@
     polls = [overdue_poll(at) for at in (0.0, 0.2, 0.4)]
     for poll in polls:
         overdue.add(poll, poll.sent_at + OVERDUE_AFTER_S)
-    assert not overdue.release_one(0.45)
-    assert overdue.release_one(0.55)
+    releasable_at = polls[1].sent_at + RETENTION.release_s
+    assert not overdue.release_one(releasable_at - 0.01)
+    assert overdue.release_one(releasable_at + 0.01)
     assert [poll.call.aborted for poll in polls] == [False, True, False]
-    assert not overdue.release_one(0.55)
+    assert not overdue.release_one(releasable_at + 0.01)
 
 
 def test_an_only_poll_is_released_later_the_longer_the_service_is_silent():
