The fault soak plays slow, crowded and moved agents, with faults that follow the seed

Change: the agent is quick, slow (0.1 to 1.2 s), crowded (3 to 6 connections, resets or 503) or has dead connections, answers stale polls or in pieces; SIGHUP comes in series and may name an agent that is silent. A drain counts as told when it is published, or where the agent takes over 0.35 s when it first answers, also to a poll that was given up. Faults have a random generator of their own: the clients' shared one made them vary from run to run. Tracebacks in the log are violations.

--- a/tests/broker_process.py
+++ b/tests/broker_process.py
@@ -135,11 +135,15 @@
         node = self.nodes[name]
         self.agent.put(name, node.port, node.cell, state)
 
+    def write_configuration(self, agent):
+        """Writes the configuration with the address of an agent; returns its path."""
+        path = Path(self.folder.name) / "config.json"
+        path.write_bytes(file_of(agent.http.address[1], listen=self.port, **self.changes))
+        return path
+
     async def start(self):
         """Starts the process and waits until it listens."""
-        config = file_of(self.agent.http.address[1], listen=self.port, **self.changes)
-        path = Path(self.folder.name) / "config.json"
-        path.write_bytes(config)
+        path = self.write_configuration(self.agent)
         env = {"PATH": os.environ["PATH"], "ROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
         program = ["-m", "badgerbend.platform"]
         if self.faults is not None:
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -15,6 +15,7 @@
 from badgerbend.standin.framenode import Part
 from tests.broker_process import Answer, BrokerProcess, read_answer, request
 from tests.platform_stage import SETTINGS, SHARDS
+from tests.rough_agent import Excess, RoughAgent
 
 GRACE_S = 0.5
 SLACK_S = 0.05
@@ -28,7 +29,8 @@
 ACCEPTED_AFTER_TERM_S = 0.7  # a request sent less than this after SIGTERM may be interrupted by SIGKILL
 DEADLINES_MS = {"quote": (400, 1200), "accept": (500, 3000)}
 CLIENTS, CROWD = 6, 40
-RUN_S = 4.0
+RUN_S = 5.0
+SLOW_AGENT_S = 0.35  # an agent that takes longer tells a drain with its first answer
 WINDOW_S = SETTINGS["categories"][2]["repeatWindowMs"] / 1000.0
 MAX_ATTEMPTS = SETTINGS["ceilings"]["maxAttempts"]
 
@@ -52,17 +54,21 @@
 
     seed: int
     sent: list[Sent] = field(default_factory=list)
-    drained_at: dict[str, float] = field(default_factory=dict)  # when a node's drain was published, by node
     violations: list[str] = field(default_factory=list)
     term_at: float = float("inf")
     killed_at: float | None = None
 
     def __post_init__(self):
         self.random = random.Random(self.seed)
+        self.fault_random = random.Random(f"faults of {self.seed}")  # not shared with the clients, whose order varies
         self.request_count = 0
         self.crowd = self.random.random() < 0.3
         self.arrivals = 0
         self.skipped_parts = set()
+        self.agent = None  # the discovery agent that publishes the drains
+        self.next_agent = None  # the one that a new configuration names, if any
+        self.published_at = float("inf")  # when the drains were published
+        self.drained = set()  # the nodes that drain
         self.pause_s = 0.0  # how long the process was paused
         self.max_lateness_s = 0.0  # of the event loop of this process, which measures all times
 
@@ -102,7 +108,9 @@
     async def play(self):
         """Runs the broker and its clients. Returns one line for each violated rule."""
         settings = {"obligations.drainGraceMs": GRACE_S * 1000.0}
-        async with BrokerProcess(behave=self.behave, faults=self.plan(), settings=settings) as broker:
+        self.agent = RoughAgent()
+        broker_process = BrokerProcess(behave=self.behave, faults=self.plan(), agent=self.agent, settings=settings)
+        async with broker_process as broker:
             count = CLIENTS + (CROWD if self.crowd else 0)
             clients = [asyncio.create_task(self._client(broker)) for _ in range(count)]
             fault_injection = asyncio.create_task(self._inject_faults(broker))
@@ -112,6 +120,8 @@
             await self._end(broker)
             await asyncio.gather(*clients)
             watch.cancel()
+            if self.next_agent is not None:
+                await self.next_agent.close()
             self._check(broker)
             self.arrivals = len(broker.arrivals)
         return self.violations
@@ -127,32 +137,68 @@
             self.max_lateness_s = max(self.max_lateness_s, time.monotonic() - began - TICK_S)
 
     async def _inject_faults(self, broker):
-        """Causes a discovery outage, drains when it ends, a slow agent, a pause of the process and a reload."""
-        draw = self.random
+        """Causes an outage of a rough agent, drains when it ends, a pause of the process, and a move or a reload."""
+        draw = self.fault_random
         await asyncio.sleep(draw.uniform(0.2, 0.8))
-        broker.agent.silent = draw.random() < 0.6
-        await asyncio.sleep(draw.uniform(0.2, 1.2))
-        for name in draw.sample(["s0", "s1", "s2"], draw.randint(1, 3)):  # each cell keeps a node that does not drain
+        self._make_agent_rough()
+        self.agent.silent = draw.random() < 0.6
+        await asyncio.sleep(draw.uniform(0.2, 2.2))
+        self.drained = set(draw.sample(["s0", "s1", "s2"], draw.randint(1, 3)))  # each cell keeps a node
+        for name in self.drained:
             broker.put(name, "draining")
-        broker.agent.delay_s = draw.choice([0.0, 0.1, 0.2])
-        broker.agent.silent = False
-        published_at = time.monotonic()  # a state that a slow agent still delays counts as published
-        self.drained_at = {
-            name: published_at for name, row in broker.agent.members.items() if row["state"] == "draining"
-        }
+        self.published_at = time.monotonic()  # a state that a slow agent still delays counts as published
+        self.agent.speak()
         if draw.random() < 0.5:
             await asyncio.sleep(draw.uniform(0.0, 0.3))
-            broker.process.send_signal(signal.SIGHUP)
+            await self._reload(broker)
         if draw.random() < 0.5:
             self.pause_s = PAUSE_S
             broker.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(PAUSE_S)
             broker.process.send_signal(signal.SIGCONT)
 
+    def _make_agent_rough(self):
+        """Draws how the agent behaves: quick, slow, crowded, or with connections that die."""
+        draw, agent = self.fault_random, self.agent
+        agent.answers_stale = draw.random() < 0.3
+        agent.computes_early = draw.random() < 0.3
+        agent.pieces = draw.choice([1, 1, 4])
+        agent.piece_interval_s = 0.02
+        match draw.choice(["quick", "slow", "very slow", "crowded", "dead"]):
+            case "slow":
+                agent.delay_s = draw.choice([0.1, 0.2])
+            case "very slow":
+                agent.delay_s = draw.choice([0.5, 0.8, 1.2])
+            case "crowded":
+                agent.max_connections = draw.choice([3, 4, 6])
+                agent.excess = draw.choice([Excess.RESET, Excess.REJECTED])
+            case "dead":
+                agent.http.silence_connections()
+
+    async def _reload(self, broker):
+        """Sends SIGHUP, once or in a series. The new configuration may name another agent, which may be silent."""
+        if self.fault_random.random() < 0.5:
+            self.next_agent = RoughAgent()
+            await self.next_agent.start()
+            for name, row in self.agent.members.items():
+                node = broker.nodes[name]
+                self.next_agent.put(name, node.port, node.cell, row["state"])
+            self.next_agent.silent = self.fault_random.random() < 0.5
+            broker.write_configuration(self.next_agent)
+        for _ in range(self.fault_random.choice([1, 1, 3])):
+            broker.process.send_signal(signal.SIGHUP)
+
+    def _told_at(self):
+        """When the broker counts as notified of the drains."""
+        if self.agent.delay_s <= SLOW_AGENT_S:
+            return self.published_at
+        answers = [agent.answered_at.get(agent.rev) for agent in (self.agent, self.next_agent) if agent is not None]
+        return min((at for at in answers if at is not None), default=float("inf"))
+
     async def _end(self, broker):
         """Sends SIGTERM, and SIGKILL at the earliest moment; clients continue until then."""
         self.term_at = time.monotonic()
-        for _ in range(self.random.choice([1, 1, 3])):
+        for _ in range(self.fault_random.choice([1, 1, 3])):
             broker.process.send_signal(signal.SIGTERM)
         while time.monotonic() < self.term_at + KILL_AFTER_S and broker.process.poll() is None:
             await asyncio.sleep(0.01)
@@ -214,14 +260,16 @@
             for arrival in arrivals.get(sent.request.name, []):
                 self._check_attempt(sent, arrival)
             self._check_repeats(arrivals.get(sent.request.name, []))
+        told_at = self._told_at()
         for arrival in broker.arrivals:
-            drained_at = self.drained_at.get(arrival.node)
-            if drained_at is not None and arrival.at > drained_at + GRACE_S + self.slack_s:
+            if arrival.node in self.drained and arrival.at > told_at + GRACE_S + self.slack_s:
                 self.violations.append(
-                    f"drain: {arrival.part_id} sent to {arrival.node} {arrival.at - drained_at:.3f} s after its drain"
+                    f"drain: {arrival.part_id} sent to {arrival.node} {arrival.at - told_at:.3f} s after its drain"
                 )
-        steps = [line for line in broker.lines if line.get("kind") in ("step failed", "ended by the watch")]
-        self.violations += [f"log: {line}" for line in steps]
+        defects = [line for line in broker.lines if line.get("kind") in ("step failed", "ended by the watch")]
+        defects += [line for line in broker.lines if line.get("how") == "failed by the watch"]
+        defects += [line for line in broker.lines if line["what"] == "no JSON"]  # a traceback
+        self.violations += [f"log: {line}" for line in defects]
 
     def _check_answer(self, sent, attempts):
         """Each answer must be in time, and a request of which parts were sent must be answered."""
--- a/tests/faulty_calls.py
+++ b/tests/faulty_calls.py
@@ -116,7 +116,7 @@
         if FAULTS.should_fail(FAULTS.plan.write_blocked):
             raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
         if FAULTS.should_fail(FAULTS.plan.write_short):
-            data = memoryview(data)[:SHORT_BYTES]
+            data = bytes(memoryview(data)[:SHORT_BYTES])  # a view would lock asyncio's buffer while an error is handled
         return super().send(data, flags)
 
     def recv(self, size, flags=0):
--- a/tests/rough_agent.py
+++ b/tests/rough_agent.py
@@ -83,7 +83,8 @@
         self.delay_s = 0.0
 
     def respond(self, status, body, content_type):
-        asyncio.get_running_loop().call_later(self.delay_s, self.connection.write_answer, status, body, content_type)
+        answer = (status, body, content_type, self.connection.agent.rev)
+        asyncio.get_running_loop().call_later(self.delay_s, self.connection.write_answer, *answer)
 
 
 class RoughServer:
@@ -161,12 +162,12 @@
                 self.agent.requests.append(exchange.target.decode())
                 exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, b"", b"text/plain")
 
-    def write_answer(self, status, body, content_type):
+    def write_answer(self, status, body, content_type, revision):
         if self.is_dead:
             return
         if status == HTTPStatus.OK:
             written_at = time.monotonic() + (self.agent.pieces - 1) * self.agent.piece_interval_s
-            self.agent.answered_at.setdefault(self.agent.rev, written_at)
+            self.agent.answered_at.setdefault(revision, written_at)
         closing = b"connection: close\r\n" if self.agent.closes_after_answer else b""
         head = b"HTTP/1.1 %d %s\r\ncontent-type: %s\r\ncontent-length: %d\r\n%s\r\n"
         data = head % (status, REASONS[status], content_type, len(body), closing) + body
--- a/tests/test_incident_moved_agent.py
+++ b/tests/test_incident_moved_agent.py
@@ -7,13 +7,12 @@
 import asyncio
 import signal
 import time
-from pathlib import Path
 
 import pytest
 
 from tests.agent_faults import DRAINED, GRACE_S, SETTINGS, SHARDS_ASKED, SLACK_S
 from tests.broker_process import BrokerProcess, request
-from tests.platform_stage import file_of, run
+from tests.platform_stage import run
 from tests.rough_agent import RoughAgent
 from tests.sockets import until
 
@@ -23,8 +22,7 @@
 
 def move(broker, agent):
     """Writes a configuration that names another agent, and sends SIGHUP."""
-    file = file_of(agent.http.address[1], listen=broker.port, settings=SETTINGS)
-    (Path(broker.folder.name) / "config.json").write_bytes(file)
+    broker.write_configuration(agent)
     broker.process.send_signal(signal.SIGHUP)
 
 
