--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -26,7 +26,6 @@
 # following fractions of the drain grace period add up to that delay; the rest of the period is for reading the list
 # and for parts that are already on their way.
 WAIT_FRACTION, ANSWER_TIMEOUT_FRACTION, RETRY_FRACTION = 0.35, 0.15, 0.1
-REJECTED_RETRY_FRACTION = 0.2  # after a rejected poll, which is known to have failed without waiting for a timeout
 # An answer that trickles in is abandoned this long after its wait. Together with the pause before the retry and the
 # next poll, that makes one grace period.
 MAX_ANSWER_FRACTION = 0.7
@@ -129,7 +128,6 @@
         self.pace = Pace(
             first_retry_s=RETRY_FRACTION * grace / 2,
             max_retry_s=RETRY_FRACTION * grace,
-            max_rejected_retry_s=REJECTED_RETRY_FRACTION * grace,
             min_update_interval_s=MIN_UPDATE_INTERVAL_S,
         )
         self.retention = Retention(RECENT_FRACTION * grace, SPACING_FRACTION * grace, RELEASE_FRACTION * grace)
--- a/badgerbend/discovery/target.py
+++ b/badgerbend/discovery/target.py
@@ -23,14 +23,12 @@
 class Pace:
     """The pace of polling, in seconds.
 
-    first_retry_s, max_retry_s: bounds of the backoff after polls that were not answered in time or not with a list.
-    max_rejected_retry_s: its upper bound after polls that the service rejected. min_update_interval_s: the least time
-    between two polls, which limits how often a list that changes all the time is read.
+    first_retry_s, max_retry_s: bounds of the backoff after failures. min_update_interval_s: the least time between two
+    polls, which limits how often a list that changes all the time is read.
     """
 
     first_retry_s: float = 0.1
     max_retry_s: float = 5.0
-    max_rejected_retry_s: float = 5.0
     min_update_interval_s: float = 0.05
 
 
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -357,6 +357,5 @@
             self.on_update(api.EndpointUpdate(api.UpdateKind.FAILED, ()))
         elif self.is_following:
             pace = self.target.pace
-            longest_s = pace.max_rejected_retry_s if is_rejected else pace.max_retry_s
-            delay_s = min(pace.first_retry_s * 2.0 ** min(self.failures - 1, 10), longest_s)
+            delay_s = min(pace.first_retry_s * 2.0 ** min(self.failures - 1, 10), pace.max_retry_s)
             self._timer = self.clock.call_later(delay_s * self.rng.uniform(0.5, 1.0), self._send_poll)
