--- a/tests/agent_faults.py
+++ b/tests/agent_faults.py
@@ -36,13 +36,15 @@
     """One behaviour of the agent. before, after: attributes of the agent before and after the drain is published.
 
     outage_s: the agent is silent for this long before. settle_s: the agent behaves as after the drain for this long
-    before. is_dead: connections that are open when the drain is published are dead from then on.
+    before. is_refusing: connections are refused in the outage. is_dead: connections that are open when the drain is
+    published are dead from then on.
     """
 
     before: dict[str, object] = field(default_factory=dict)
     after: dict[str, object] = field(default_factory=dict)
     outage_s: float = 3.3
     settle_s: float = 0.0
+    is_refusing: bool = False
     is_dead: bool = False
     told: Told = Told.PUBLISHED
 
@@ -91,6 +93,8 @@
         for excess in Excess
         for count in (1, 2, 4, 6, 10)
     },
+    "at most 1 connections, others WAITS, short outage": limited(1, Excess.WAITS, 1.5),
+    "at most 1 connections, others WAITS, long outage": limited(1, Excess.WAITS, 9.0),
     "at most 2 connections, others RESET, long outage": limited(2, Excess.RESET, 9.0),
     "one request at a time, 50 ms": Case(before={"service_s": 0.05}),
     "one request at a time, 150 ms": Case(before={"service_s": 0.15}),
@@ -102,6 +106,19 @@
     "answers in pieces over 0.2 s": Case(after={"pieces": 10, "piece_interval_s": 0.02}),
     "answers in pieces over 0.6 s": Case(after={"pieces": 3, "piece_interval_s": 0.3}, told=Told.ANSWERED),
     "answers in pieces over 1.5 s": Case(after={"pieces": 4, "piece_interval_s": 0.5}, told=Told.ANSWERED),
+    "refuses connections in the outage": Case(is_refusing=True),
+    "refuses connections in a long outage": Case(is_refusing=True, outage_s=9.0),
+    "slow by 0.3 s after refusing connections": Case(is_refusing=True, after={"delay_s": 0.3}),
+    "whole lists without the draining nodes": Case(before={"omits_draining": True}),
+    "whole lists without the draining nodes, slow": Case(
+        before={"omits_draining": True}, after={"delay_s": 0.5}, told=Told.ANSWERED
+    ),
+    "chunked and indented": Case(before={"is_chunked": True, "is_indented": True}),
+    "three answers cut off": Case(after={"cut_answers": 3}),
+    "five requests answered with 503": Case(after={"rejected_answers": 5}),
+    "five requests answered with 503, slow by 0.2 s": Case(
+        after={"rejected_answers": 5, "delay_s": 0.2}, told=Told.ANSWERED
+    ),
     "closes after each answer": Case(before={"closes_after_answer": True}),
     "dead connections": Case(outage_s=0.0, is_dead=True),
     "dead connections after slow ones": Case(
@@ -121,6 +138,8 @@
         await asyncio.sleep(WARM_UP_S)
         polls = len(agent.requests)
         agent.silent = case.outage_s > 0.0
+        if case.is_refusing:
+            agent.http.stop()
         await asyncio.sleep(case.outage_s)
         polls_per_s = (len(agent.requests) - polls) / case.outage_s if case.outage_s else 0.0
         connections = len(agent.http.connections)
@@ -128,6 +147,8 @@
         await asyncio.sleep(case.settle_s)
         if case.is_dead:
             agent.http.silence_connections()
+        if case.is_refusing:
+            await agent.http.start(*agent.http.address)
         published_at = time.monotonic()
         for name in DRAINED:
             broker.put(name, "draining")
--- a/tests/rough_agent.py
+++ b/tests/rough_agent.py
@@ -5,11 +5,14 @@
 from enum import Enum, auto
 from http import HTTPStatus
 
+import msgspec
+
 from badgerbend.net.server import REASONS
 from badgerbend.standin.agent import Agent
 from tests.replacing import replace_attribute
 
 BACKLOG = 1024
+CUT_AFTER_S = 0.01
 HEAD_END = b"\r\n\r\n"
 
 
@@ -28,7 +31,9 @@
     computes_early: whether a delayed answer states what was known when its request arrived. service_s: requests are
     handled one after the other, each for this long. max_connections, excess: the limit on connections, and what happens
     beyond it. connect_delay_s: a new connection is read this much later. pieces, piece_interval_s: answers are written
-    in so many pieces. answered_at: when each revision was first answered in full, also to a poll that was given up.
+    in so many pieces. omits_draining: every answer is a whole list without the nodes that drain. cut_answers,
+    rejected_answers: so many answers are reset in their middle, or replaced by 503. answered_at: when each revision was
+    first answered in full, also to a poll that was given up.
     """
 
     def __init__(self):
@@ -43,10 +48,27 @@
         self.pieces = 1
         self.piece_interval_s = 0.0
         self.closes_after_answer = False
+        self.is_chunked = False
+        self.is_indented = False
+        self.omits_draining = False
+        self.cut_answers = 0
+        self.rejected_answers = 0
         self.answered_at = {}
         self._stale = []
         self._busy_until = 0.0
 
+    def full_list(self):
+        full = super().full_list()
+        if self.omits_draining:
+            full["targets"] = [row for row in full["targets"] if row["state"] == "up"]
+        return full
+
+    def _send_changes(self, exchange, since):
+        if self.omits_draining:
+            exchange.respond(HTTPStatus.OK, msgspec.json.encode(self.full_list()), b"application/json")
+        else:
+            super()._send_changes(exchange, since)
+
     def speak(self):
         """Ends a silence."""
         self.silent = False
@@ -103,6 +125,10 @@
         return self.address[1]
 
     async def close(self, _):
+        self.stop()
+
+    def stop(self):
+        """Resets all connections and refuses new ones, as when the process dies."""
         self._server.close()
         for connection in list(self.connections):
             connection.transport.abort()
@@ -163,18 +189,39 @@
                 exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, b"", b"text/plain")
 
     def write_answer(self, status, body, content_type, revision):
+        agent = self.agent
         if self.is_dead:
             return
-        if status == HTTPStatus.OK:
-            written_at = time.monotonic() + (self.agent.pieces - 1) * self.agent.piece_interval_s
-            self.agent.answered_at.setdefault(revision, written_at)
-        closing = b"connection: close\r\n" if self.agent.closes_after_answer else b""
-        head = b"HTTP/1.1 %d %s\r\ncontent-type: %s\r\ncontent-length: %d\r\n%s\r\n"
-        data = head % (status, REASONS[status], content_type, len(body), closing) + body
-        size = -(-len(data) // self.agent.pieces)
+        if agent.rejected_answers > 0:
+            agent.rejected_answers -= 1
+            status, body = HTTPStatus.SERVICE_UNAVAILABLE, b""
+        is_cut = agent.cut_answers > 0
+        agent.cut_answers -= is_cut
+        if status == HTTPStatus.OK and not is_cut:
+            written_at = time.monotonic() + (agent.pieces - 1) * agent.piece_interval_s
+            agent.answered_at.setdefault(revision, written_at)
+        data = self._encode(status, body, content_type)
+        if is_cut:
+            self._write(data[: len(data) // 2])
+            asyncio.get_running_loop().call_later(CUT_AFTER_S, self.transport.abort)
+            return
+        size = -(-len(data) // agent.pieces)
         for number, at in enumerate(range(0, len(data), size)):
             piece = data[at : at + size]
-            asyncio.get_running_loop().call_later(number * self.agent.piece_interval_s, self._write, piece)
+            asyncio.get_running_loop().call_later(number * agent.piece_interval_s, self._write, piece)
+
+    def _encode(self, status, body, content_type):
+        if self.agent.is_indented and body:
+            body = msgspec.json.format(body, indent=2)
+        headers = b"content-type: %s\r\n" % content_type
+        if self.agent.closes_after_answer:
+            headers += b"connection: close\r\n"
+        if self.agent.is_chunked:
+            headers += b"transfer-encoding: chunked\r\n"
+            body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body) if body else b"0\r\n\r\n"
+        else:
+            headers += b"content-length: %d\r\n" % len(body)
+        return b"HTTP/1.1 %d %s\r\n%s\r\n" % (status, REASONS[status], headers) + body
 
     def _write(self, data):
         if not self.transport.is_closing():
--- a/tests/test_incident_crowded_agent.py
+++ b/tests/test_incident_crowded_agent.py
@@ -121,3 +121,8 @@
             await until(lambda: any("s1" in line["names"] for line in broker.logged("list")))
 
     run(main)
+
+
+# Guards against a poll that was dropped in an outage and keeps the only connection that the agent serves.
+def test_a_drain_is_obeyed_when_the_agent_serves_one_connection_and_lets_others_wait():
+    assert late_by_case(["at most 1 connections, others WAITS"]) == {}
