Moves of discovery: no polls left at a crowded agent, and the old agent is asked once more

Change: a configuration that names the same address leaves the watch as it is; a rejected poll releases polls of previous addresses too; these are closed after 4 s. An agent that had answered no poll in time is asked once more at the move, again after a rejection.

--- a/badgerbend/discovery/predecessors.py
+++ b/badgerbend/discovery/predecessors.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from badgerbend.discovery.polls import OverduePolls, Poll
+from badgerbend.discovery.polls import OverduePolls, Poll, Timer
 from badgerbend.discovery.target import Target
 from badgerbend.net.client import Pool
 
@@ -14,15 +14,24 @@
 MAX_LATER_POLLS = 4
 """The number of polls that are left open at services after the one that answered last."""
 
+MAX_PREDECESSOR_S = 4.0
+"""How long the polls of a service stay open after the move; by then the broker counts as notified by the new one."""
+
 
 @dataclass(slots=True, eq=False)
 class Predecessor:
-    """A service that is no longer polled. applied_version: the version of the last list of it that was applied."""
+    """A service that is no longer polled.
+
+    applied_version: the version of the last list of it that was applied. left_at: when the watch moved on. retry_timer:
+    set after a poll was rejected.
+    """
 
     target: Target
     pool: Pool
     polls: OverduePolls
     applied_version: int | None
+    left_at: float
+    retry_timer: Timer | None = None
 
     def is_news(self, version: int | None) -> bool:
         """Whether a list of this version is newer than the last one."""
@@ -30,6 +39,8 @@
 
     def close(self) -> None:
         """Aborts the open polls and closes the connections."""
+        if self.retry_timer is not None:
+            self.retry_timer.cancel()
         self.polls.abort()
         self.pool.close()
 
@@ -57,6 +68,15 @@
         """Returns the service to which a poll was sent, unless it is the current one."""
         return next((service for service in self._services if poll in service.polls.polls), None)
 
+    def release_one(self, now: float) -> bool:
+        """Aborts an overdue poll after another one was rejected; returns whether it did."""
+        return any(service.polls.release_one(now) for service in self._services)
+
+    def close_expired(self, now: float) -> None:
+        """Closes the predecessors that were left too long ago."""
+        while self._services and now - self._services[0].left_at > MAX_PREDECESSOR_S:
+            self._services.pop(0).close()
+
     def close(self) -> None:
         """Closes all predecessors."""
         services, self._services = self._services, []
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -85,6 +85,8 @@
     def switch_target(self, target: Target) -> None:
         """Polls another service from now on. The current list stays until the new service has answered; versions of
         the two services are unrelated. What the old service still answers until then is applied."""
+        if (target.host, target.port) == (self.target.host, self.target.port):
+            return
         self._finish_list()
         self._retire_service()
         self.target, self.version, self.failures = target, None, 0
@@ -95,14 +97,21 @@
             self._send_poll()
 
     def _retire_service(self) -> None:
-        """Leaves the polls of the current service open."""
+        """Leaves the polls of the current service open.
+
+        If it has answered none of them in time, one more is sent: it may have changes that it would have been asked for
+        at the next retry.
+        """
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        now = self.clock.time()
         if self._poll is not None:
             self._add_overdue(self._poll)
             self._poll = None
-        self._predecessors.add(Predecessor(self.target, self.pool, self._overdue, self._applied_version))
+        if self.failures and self._applied_version is not None:
+            self._overdue.add(self._request(self.target, self.pool, self._applied_version), now)
+        self._predecessors.add(Predecessor(self.target, self.pool, self._overdue, self._applied_version, now))
 
     def start(self) -> None:
         """Starts watching in push mode; in ask mode the aggregator sends the first request."""
@@ -155,17 +164,23 @@
 
     def _send_poll(self) -> None:
         self._stop_latest()  # with two current polls, nobody would wait for the first one
+        self._predecessors.close_expired(self.clock.time())
         target = self.target
+        poll = self._poll = self._request(target, self.pool, self.version)
+        turn_s = target.answer_timeout_s / TIMEOUT_TURNS
+        wait_s = target.wait_s if self.version is not None else 0.0
+        poll.timer = self.clock.call_later(wait_s + turn_s, self._on_timeout_turn)
+
+    def _request(self, target: Target, pool: Pool, version: int | None) -> Poll:
+        """Requests what is newer than a version from a service."""
         head = (
-            f"GET {target.path(self.version)} HTTP/1.1\r\nhost: {target.host}:{target.port}\r\n"
+            f"GET {target.path(version)} HTTP/1.1\r\nhost: {target.host}:{target.port}\r\n"
             f"user-agent: {self.user_agent}\r\n\r\n"
         )
-        poll = self._poll = Poll(self.version, self.clock.time())
+        poll = Poll(version, self.clock.time())
         self._polls_since_answer += 1
-        poll.call = self.pool.request(head.encode(), lambda reply: self._on_reply(poll, reply))
-        turn_s = target.answer_timeout_s / TIMEOUT_TURNS
-        wait_s = target.wait_s if self.version is not None else 0.0
-        poll.timer = self.clock.call_later(wait_s + turn_s, self._on_timeout_turn)
+        poll.call = pool.request(head.encode(), lambda reply: self._on_reply(poll, reply))
+        return poll
 
     def _on_timeout_turn(self) -> None:
         """Handles the end of one turn of the answer timeout without an answer."""
@@ -249,6 +264,8 @@
                 pass
         except (ListError, ValueError) as err:
             self.on_fault("list not read", f"{err}, from the previous address")
+            if isinstance(err, PollRejectedError):
+                self._retry_predecessor(predecessor)
             return
         predecessor.applied_version = version
         self.on_fault(
@@ -256,6 +273,19 @@
         )
         self.on_applied()
 
+    def _retry_predecessor(self, predecessor: Predecessor) -> None:
+        """Repeats a rejected poll, unless the service was left some time ago or a retry is pending."""
+        now = self.clock.time()
+        if predecessor.retry_timer is not None or now - predecessor.left_at > predecessor.target.retention.recent_s:
+            return
+
+        def retry() -> None:
+            predecessor.retry_timer = None
+            poll = self._request(predecessor.target, predecessor.pool, predecessor.applied_version)
+            predecessor.polls.add(poll, self.clock.time())
+
+        predecessor.retry_timer = self.clock.call_later(predecessor.target.pace.first_retry_s, retry)
+
     def _read(self, target: Target, poll: Poll, reply: Reply) -> tuple[int | None, ListReader | None]:
         """Returns the answer's version, and a reader if there are changes.
 
@@ -349,8 +379,9 @@
     def _on_failure(self, reason: str, is_rejected: bool = False) -> None:
         self.version = None
         self.failures += 1
-        if is_rejected and self._overdue.release_one(self.clock.time()):
-            self._abandoned_since_answer += 1
+        if is_rejected:
+            now = self.clock.time()
+            self._abandoned_since_answer += self._overdue.release_one(now) or self._predecessors.release_one(now)
         self.on_fault("list not read", reason)
         if self.polls_on_request:
             self.is_following = False
--- a/tests/test_incident_moved_agent.py
+++ b/tests/test_incident_moved_agent.py
@@ -13,11 +13,12 @@
 from tests.agent_faults import DRAINED, GRACE_S, SETTINGS, SHARDS_ASKED, SLACK_S
 from tests.broker_process import BrokerProcess, request
 from tests.platform_stage import run
-from tests.rough_agent import RoughAgent
+from tests.rough_agent import Excess, RoughAgent
 from tests.sockets import until
 
 ANSWER_DELAY_S = 0.2  # of the old agent
 QUERIES = 40
+OUTAGE_S = 1.0
 
 
 def move(broker, agent):
@@ -74,3 +75,40 @@
         await new_agent.close()
 
     run(main)
+
+
+# Guards against polls of the previous configuration that occupy all connections which the agent allows.
+def test_a_drain_is_obeyed_after_a_reload_that_names_the_same_crowded_agent():
+    async def main():
+        async with BrokerProcess(agent=RoughAgent(), settings=SETTINGS) as broker:
+            broker.agent.max_connections = 2
+            broker.agent.excess = Excess.RESET
+            broker.agent.silent = True
+            await asyncio.sleep(OUTAGE_S)
+            move(broker, broker.agent)
+            await until(lambda: broker.logged("reloaded"))
+            for name in DRAINED:
+                broker.put(name, "draining")
+            broker.agent.speak()
+            assert await sent_after_the_grace_period(broker, time.monotonic(), DRAINED) == []
+
+    run(main)
+
+
+# Guards against moving on without the changes of an agent that has just returned from an outage.
+def test_a_drain_is_obeyed_when_discovery_moves_as_the_old_agent_returns_and_the_new_one_is_silent():
+    async def main():
+        new_agent = RoughAgent()
+        await new_agent.start()
+        new_agent.silent = True
+        async with BrokerProcess(agent=RoughAgent(), settings=SETTINGS) as broker:
+            broker.agent.silent = True
+            await asyncio.sleep(OUTAGE_S)
+            for name in DRAINED:
+                broker.put(name, "draining")
+            broker.agent.speak()
+            move(broker, new_agent)
+            assert await sent_after_the_grace_period(broker, time.monotonic(), DRAINED) == []
+        await new_agent.close()
+
+    run(main)
