A late answer of the previous agent waits for no list of the current one

Found on reading the whole change: while a long list of the new agent is read in slices, an answer of the old one could be applied in between, and the slices would then be compared with a directory that had changed. The answer is dropped now: the new agent has answered. By reading; no test forces it. Comments of the polls are corrected.

--- a/badgerbend/discovery/polls.py
+++ b/badgerbend/discovery/polls.py
@@ -15,13 +15,12 @@
 polls stay open, and one that allows few connections needs old ones to be closed soon after its silence begins."""
 
 MAX_OVERDUE_S = 4.0
-"""How long the oldest overdue poll stays open: a slower service is too slow to be watched."""
+"""How long an overdue poll stays open, unless the service has been silent for long."""
 
 MAX_OVERDUE_SILENCE_FRACTION = 0.25
 """The oldest overdue poll stays open for this fraction of the service's silence if that is longer, so that even a
 service that takes longer to answer is heard at some time."""
 
-
 RELEASE_SILENCE_FRACTION = 0.05
 """An only overdue poll is aborted for a rejected one once it is older than this fraction of the service's silence."""
 
@@ -106,7 +105,7 @@
         self._answered_at = now  # when the service answered last
 
     def add(self, poll: Poll, now: float) -> int:
-        """Adds a poll; returns how many polls were aborted instead."""
+        """Adds a poll; returns how many polls were aborted because they were too old, redundant or too many."""
         poll.stop_timer()
         poll.overdue_at = now
         self.polls.append(poll)
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -256,6 +256,8 @@
     def _on_reply_of_predecessor(self, predecessor: Predecessor, poll: Poll, reply: Reply) -> None:
         """Applies what a service that is no longer polled answers before the current one has answered."""
         predecessor.polls.ended(poll)
+        if self._list_steps is not None:  # the current service has answered, and its list is being read
+            return
         try:
             version, reader = self._read(predecessor.target, poll, reply)
             if reader is None or not predecessor.is_news(version):
