SIGHUP with the same address asks for the complete list again

Change: the list is asked for again, and polls that are open stay open as overdue ones of the same agent, so that a crowded one is still heard (test_a_drain_is_obeyed_after_a_reload_that_names_the_same_crowded_agent). The one place that leaves the latest poll open serves the move, the reload and a late answer.

--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -84,10 +84,15 @@
 
     def switch_target(self, target: Target) -> None:
         """Polls another service from now on. The current list stays until the new service has answered; versions of
-        the two services are unrelated. What the old service still answers until then is applied."""
+        the two services are unrelated. What the old service still answers until then is applied. The same service is
+        asked for its complete list."""
+        self._finish_list()
+        self._leave_latest_open()
         if (target.host, target.port) == (self.target.host, self.target.port):
+            self.version = None
+            if self.is_following:
+                self._send_poll()
             return
-        self._finish_list()
         self._retire_service()
         self.target, self.version, self.failures = target, None, 0
         self._applied_version = None
@@ -96,19 +101,22 @@
         if self.is_following:
             self._send_poll()
 
+    def _leave_latest_open(self) -> None:
+        """Leaves the latest poll open beside the next one."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._poll is not None:
+            self._add_overdue(self._poll)
+            self._poll = None
+
     def _retire_service(self) -> None:
         """Leaves the polls of the current service open.
 
         If it has answered none of them in time, one more is sent: it may have changes that it would have been asked for
         at the next retry.
         """
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
         now = self.clock.time()
-        if self._poll is not None:
-            self._add_overdue(self._poll)
-            self._poll = None
         if self.failures and self._applied_version is not None:
             self._overdue.add(self._request(self.target, self.pool, self._applied_version), now)
         self._predecessors.add(Predecessor(self.target, self.pool, self._overdue, self._applied_version, now))
@@ -233,7 +241,7 @@
                 self._overdue.ended(poll)
                 return
             self.on_fault("list read late", f"after {(self.clock.time() - poll.sent_at) * 1000.0:.0f} ms")
-            self._replace_latest_poll(poll)
+            self._leave_latest_open()  # it may still bring changes
             self.is_following = True  # in ask mode, the aggregator sends no request after an update
         self._poll = None
         self._overdue.answered(poll, self.clock.time())
@@ -300,14 +308,6 @@
         has_list = self.refreshed_at is not None
         return target.read(reply, poll.version, has_list, self.directory, self.now_ms(), self.unix_s())
 
-    def _replace_latest_poll(self, poll: Poll) -> None:
-        """Makes the latest poll an overdue one after an earlier poll was answered: it may still bring changes."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if self._poll is not None:
-            self._add_overdue(self._poll)
-
     def _add_overdue(self, poll: Poll) -> None:
         self._abandoned_since_answer += self._overdue.add(poll, self.clock.time())
 
