--- a/review/stage.py
+++ b/review/stage.py
@@ -118,8 +118,9 @@
         self.started = time.monotonic()
 
     def add(self, *words: object) -> None:
-        """Adds a line; it begins with the seconds since the start."""
-        self.file.write(f"{time.monotonic() - self.started:9.4f} " + " ".join(map(str, words)) + "\n")
+        """Adds a line; it begins with the seconds since the start. What comes after the end is left out."""
+        if not self.file.closed:
+            self.file.write(f"{time.monotonic() - self.started:9.4f} " + " ".join(map(str, words)) + "\n")
 
     def close(self) -> None:
         """Writes what is buffered."""
