--- a/review/stage.py
+++ b/review/stage.py
@@ -290,8 +290,11 @@
 class Stage:
     """An async context: an agent, 12 nodes and one broker, started by `run` of the deploy file."""
 
-    def __init__(self, folder: Path, behave: Callable[[Part], None], **changes: Any) -> None:
+    def __init__(
+        self, folder: Path, behave: Callable[[Part], None], limits: dict[str, float] | None = None, **changes: Any
+    ) -> None:
         self.record = Record(folder)
+        self.limits = limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.behave = behave
         self.settings = settings() | changes
         self.agent = Agent(self.record)
@@ -332,7 +335,7 @@
             "listen": f"{HOST}:{self.port}",
             "discovery": f"{HOST}:{self.agent.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": self.limits,
             "known": self.agent.whole(),
             "settings": self.settings,
         }
