Review case 3: the control's clients pause like usual clients

Cause: at full speed, one request at a time, the control came within 8% of the limit and could have failed elsewhere.

Change: with TROUBLE=0 the clients of review/3 pause for up to 2 s before each request.

--- a/review/3/bad_clients.py
+++ b/review/3/bad_clients.py
@@ -12,7 +12,7 @@
 
 import stage
 
-REQUESTS = 100  # of each client; without the disruption it sends one at a time
+REQUESTS = 100  # of each client; without the disruption it sends one at a time, with pauses like a usual client
 TEXT = "c41e77d0" * 7500  # the statement of each request: 60,000 bytes; a body holds at most 64 KiB
 
 
@@ -37,6 +37,7 @@
         sending = asyncio.create_task(send_all()) if stage.TROUBLE else None
         for _ in range(REQUESTS):
             if sending is None:
+                await asyncio.sleep(random.uniform(0.0, 2.0))
                 await send()
             await stage.read_answer(reader)
         writer.close()
