Timers of attempts no longer keep the texts of ended queries in memory

Cause: the driver's timers for an attempt's time-out held the attempt, and through it the text of its query. They are dropped when they are due or first in the heap, so an answered or abandoned query stayed until its time-out, seconds later.

Change: such a timer holds the part and the number of the attempt and looks it up among those in flight. Both identify an attempt, so no decision changes.

--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
 from itertools import count
+from typing import cast
 
 from badgerbend import api
 from badgerbend.api import Outcome
@@ -80,7 +81,9 @@
         self._query_of_part: dict[int, int] = {}  # query id by part id, for parts of open queries
         self._attempt_counts: dict[int, int] = {}  # attempts made so far by part id, for parts of open queries
         self._in_flight: dict[tuple[int, int], Attempt] = {}
-        self._timers: list[tuple[float, int, int, object]] = []  # time, sequence number, kind, subject
+        # Time, sequence number, kind and subject. The timers of an attempt outlive it, so they refer to it by its part
+        # and number: the attempt itself would keep the query's payload in memory.
+        self._timers: list[tuple[float, int, int, object]] = []
         self._calls: dict[int, list[Attempt]] = {}  # attempts to send in this step, by server
         self._clients_checked: set[int] = set()  # queries whose clients were checked for disconnection in this turn
         self._wake_requested = False
@@ -227,9 +230,9 @@
         query.extra_attempts += number > 0
         attempt = Attempt(part, number, node, query.parts[part], query.id, now, timeout_ms, now + begin_within_ms)
         self._in_flight[part, number] = attempt
-        self._set_timer(now + timeout_ms, TIMEOUT, attempt)
+        self._set_timer(now + timeout_ms, TIMEOUT, (part, number))
         if begin_within_ms < timeout_ms:
-            self._set_timer(now + begin_within_ms, BEGIN_DEADLINE, attempt)
+            self._set_timer(now + begin_within_ms, BEGIN_DEADLINE, (part, number))
         self._calls.setdefault(node, []).append(attempt)
 
     def _query_with_part(self, part: int) -> _Query | None:
@@ -404,12 +407,12 @@
                 assert isinstance(subject, int)
                 expired.append(subject)
             else:
-                assert isinstance(subject, Attempt)
-                if (subject.part_id, subject.number) not in self._in_flight or self._take_back(subject):
+                attempt = self._in_flight.get(cast(tuple[int, int], subject))
+                if attempt is None or self._take_back(attempt):
                     continue
                 if kind == TIMEOUT:
-                    self.transport.cancel(subject)
-                    self.attempt_completed(subject, Outcome.TIMEOUT, None)
+                    self.transport.cancel(attempt)
+                    self.attempt_completed(attempt, Outcome.TIMEOUT, None)
         return expired
 
     def _schedule_next_turn(self) -> None:
@@ -421,6 +424,5 @@
     def _is_obsolete(self, due: tuple[float, int, int, object]) -> bool:
         _, _, kind, subject = due
         if kind in (TIMEOUT, BEGIN_DEADLINE):
-            assert isinstance(subject, Attempt)
-            return (subject.part_id, subject.number) not in self._in_flight
+            return subject not in self._in_flight
         return kind == QUERY_DEADLINE and subject not in self.queries
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -1,7 +1,9 @@
 """The driver on a simulated network and clock: each query gets one final result, and each attempt ends once."""
 
+import gc
 import math
 import random
+import weakref
 from collections import Counter
 from dataclasses import replace
 
@@ -143,6 +145,29 @@
     assert network.driver.open_parts == 0
 
 
+class Payload:
+    """Stands in for the text of a query."""
+
+
+def test_the_payload_of_an_ended_query_is_not_kept_until_its_deadline():
+    # Timers kept each attempt, and so the text of its query, until its time-out: clients that sent large queries one
+    # after the other, or left at once, filled the memory.
+    network = SimulatedNetwork(succeed())
+    payload = Payload()
+    kept = weakref.ref(payload)
+    sink = Sink(network)
+    network.driver.submit(QueryPlan(ALL, 0, 0, 2000.0, False, None, [PartPlan(0, 1.0, None, payload)]), sink)
+    del payload
+    network.run(50.0)
+    assert [result for _, result in sink.results_reported] == ["answered"]
+    network.sent.clear()
+    sink.results.clear()
+    network.ask()  # the last turn's attempts are replaced
+    network.run(50.0)
+    gc.collect()
+    assert kept() is None
+
+
 def test_parts_of_one_turn_to_one_server_share_a_call():
     network = SimulatedNetwork(succeed(), parts_per_call=2)
     network.ask(shards=(0, 1, 2, 3))
