A channel keeps its last call only while a byte of it is unsent

What callers saw: memory of a broker that grows with its connections to nodes: each kept the texts of its last call, up to 16 parts of 64 KB, until the next one or its end.

Cause: Channel.last_call is needed only while bytes are left above the kernel; it was set for every call and cleared only when writing resumed.

Change: it is cleared at once when the kernel took the whole call.

Evidence: the test failed before (the ended attempt stood in last_call) and passes now. Not measured alone on processes.

--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -212,6 +212,8 @@
                 self.last_call, self.last_call_bytes, self.bytes_since_call = attempts, len(data), 0
                 self.last_used = self.loop.time()
                 self._write(data)
+                if not self.blocked:
+                    self.last_call = []
             for attempt in queued:
                 if attempt not in attempts:
                     self.owner.ended(attempt, Outcome.NOT_SENT, None)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -202,6 +202,17 @@
     }
 
 
+def test_a_channel_keeps_no_attempt_that_was_written_completely_and_has_ended(channel_setup):
+    # Each channel kept the texts of its last call until its next one.
+    channel, fake, owner = channel_setup
+    channel.connection_made(fake)
+    one = attempt(1)
+    channel.send([one])
+    channel.data_received(answer(b"q1.1"))
+    assert [(i, o) for i, o, _ in owner.ends] == [(b"q1.1", Outcome.OK)]
+    assert not any(one in held for held in (channel.last_call, channel.queued_calls, channel.in_flight.values()))
+
+
 def test_queued_calls_are_written_later_and_are_returned_for_a_drain(channel_setup):
     channel, fake, owner = channel_setup
     channel.connection_made(fake)
