What connections hold of requests is counted for the whole server and bounded

Cause: a connection's input was bounded (8 requests of 64 KB, 272 KB unparsed), the sum over all connections was not, and memory_mb was used nowhere. What one connection held was not bounded by its bytes either: 15 KB of short headers took half a megabyte, a body in chunks of two bytes 28 times its size, trailers had no limit, and the exception of a rejected request kept the 256 KB that were read with it until a collection of garbage.

Change: net/held_memory.py counts waiting input, open requests and unsent output of all connections. A request larger than a connection's share is refused while the rest is in use. A connection within its share loses nothing. net/request_parser.py (parts of net/server.py, without I/O) keeps a request in one piece, at most 100 headers, no trailers, and no exception. No further request is served while a response is unsent. The front drops the raw body.

--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -21,10 +21,10 @@
 from http import HTTPStatus
 from typing import cast
 
-import httptools
-
 from badgerbend.net.acceptor import Acceptor, Listener, accept_from
+from badgerbend.net.held_memory import HeldMemory
 from badgerbend.net.receive_delay import receive_delay_s
+from badgerbend.net.request_parser import Request, RequestParser
 
 REASONS = {s.value: s.phrase.encode() for s in HTTPStatus}
 SWEEP_INTERVAL_S = 0.5  # between checks for slow readers and idle connections
@@ -50,6 +50,8 @@
     # Beyond this number of connections, not counting lingering ones, a connection is closed after a response unless
     # further requests on it were received.
     max_keep_alive: int = 10_000
+    # Held by all connections together; beyond it, requests are refused where the most is held.
+    max_held_bytes: int = 67_108_864
 
 
 class Exchange:
@@ -60,29 +62,29 @@
         "body",
         "disconnected",
         "headers",
+        "is_shed",
         "keep_alive",
         "method",
         "on_disconnect",
         "received_at",
+        "size",
         "target",
     )
 
-    def __init__(
-        self,
-        connection: _Connection,
-        method: bytes,
-        target: bytes,
-        headers: dict[bytes, bytes],
-        keep: bool,
-        received_at: float,
-    ) -> None:
+    def __init__(self, connection: _Connection, request: Request, received_at: float) -> None:
         self._connection = connection
         self.received_at = received_at  # when its last byte was received, on the loop's clock
-        self.method, self.target, self.headers, self.keep_alive = method, target, headers, keep
-        self.body = b""
+        self.method, self.target, self.headers = request.method, request.target, request.headers
+        self.keep_alive, self.body = request.keep_alive, request.body
+        self.size = request.size  # an estimate of the bytes that it takes in memory
+        self.is_shed = False  # refused for lack of memory while it waited
         self.disconnected = False
         self.on_disconnect: Callable[[], None] | None = None
 
+    def shed(self) -> None:
+        """Drops what the request holds; it will be refused in its turn."""
+        self.is_shed, self.headers, self.body, self.size = True, {}, b"", 0
+
     @property
     def connection_key(self) -> int:
         """A key that all exchanges of one connection share."""
@@ -116,6 +118,7 @@
         self.connections: set[_Connection] = set()
         self.closing = False
         self.rejected_connections = self.lingering = 0
+        self.held = HeldMemory(limits.max_held_bytes, limits.max_connections)
         self.address = ("", 0)  # set by `start`
         self._listener: Listener | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -223,7 +226,7 @@
     def __init__(self, server: HttpServer, loop: asyncio.AbstractEventLoop) -> None:
         self.server, self.loop = server, loop
         self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser = RequestParser(server.limits.max_head_bytes, server.limits.max_body_bytes)
         self.active: Exchange | None = None
         self.pipelined: deque[Exchange] = deque()
         # The latest of: connection made, request begun, request received, response written, lingering close begun.
@@ -236,12 +239,8 @@
         self.discarded_bytes = 0  # received after the last request that is served
         self.lingering = self.paused = False
         self._timer: asyncio.TimerHandle | None = None  # of the lingering close, or of polling for a hang-up
-        self._reset_message()
-
-    def _reset_message(self) -> None:
-        self.target, self.headers, self.chunks = b"", dict[bytes, bytes](), list[bytes]()
-        self.head_bytes = self.body_bytes = 0
-        self.head_done = False
+        self.waiting_bytes = 0  # taken by input that is not being served yet
+        self.serving_bytes = 0  # taken by the request that is being served, or by its unsent response
 
     # -- callbacks of asyncio
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -250,6 +249,7 @@
             self.server.rejected_connections += 1
             transport.abort()
             return
+        transport.set_write_buffer_limits(high=0)  # so that the end of unsent output is reported
         self.server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -258,9 +258,11 @@
         self.server.lingering -= self.lingering
         if self._timer is not None:
             self._timer.cancel()
-        del self.parser  # breaks the reference cycle; else connections stay until the garbage collector runs
+        self.parser.close()
         lost, self.active = [*([self.active] if self.active else []), *self.pipelined], None
         self.pipelined.clear()
+        self._drop_input()
+        self._set_serving(0)
         for exchange in lost:
             exchange.disconnected = True
             if exchange.on_disconnect is not None:
@@ -278,6 +280,7 @@
             self._parse_buffered()
         else:
             self._parse(data)
+        self._report_waiting()
 
     def _parse_buffered(self) -> None:
         """Parses buffered input until enough requests are parsed ahead."""
@@ -285,10 +288,32 @@
             chunk = bytes(self.unparsed[:PARSE_CHUNK_BYTES])
             del self.unparsed[:PARSE_CHUNK_BYTES]
             self._parse(chunk)
-        if self.rejection is not None:
-            self.unparsed.clear()
         self._set_paused(len(self.unparsed) > MAX_UNPARSED_BYTES)
 
+    def _report_waiting(self) -> None:
+        """Reports the memory that waiting input takes. It may be shed at once."""
+        size = len(self.unparsed) + self.parser.partial_size + sum(exchange.size for exchange in self.pipelined)
+        if size != self.waiting_bytes:
+            self.server.held.set_waiting(self, size)
+
+    def _set_serving(self, size: int) -> None:
+        self.server.held.add_serving(size - self.serving_bytes)
+        self.serving_bytes = size
+
+    def shed_waiting(self) -> None:
+        """Refuses the requests that wait, in their order, and the one that is being received, which is the last."""
+        for exchange in self.pipelined:
+            exchange.shed()
+        self._drop_input()
+        self._set_paused(False)
+        self.reject(503, b"too much input is held")
+
+    def _drop_input(self) -> None:
+        """Discards input that is not a complete request."""
+        self.unparsed.clear()
+        self.parser.abandon()
+        self._report_waiting()
+
     def _set_paused(self, paused: bool) -> None:
         """Pauses or resumes reading. While it is paused, asyncio does not report that the peer closes."""
         if paused == self.paused or self.transport is None or self.transport.is_closing():
@@ -348,7 +373,7 @@
         self._set_paused(False)
         self.lingering, self.phase_started_at, self.discarded_bytes = True, self.loop.time(), 0
         self.server.lingering += 1
-        self.unparsed.clear()
+        self._drop_input()
         try:
             self.transport.write_eof()
         except OSError:  # the peer has reset the connection, and the loop has yet to read that
@@ -364,78 +389,38 @@
             self.abort()
 
     def _parse(self, data: bytes) -> None:
-        if not self.head_done:
-            self.head_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except _RequestError as err:
-            self.reject(err.status, err.text)
-        except httptools.HttpParserCallbackError as err:
-            cause = err.__context__
-            if isinstance(cause, _RequestError):
-                self.reject(cause.status, cause.text)
-            else:
-                raise
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reject(400, b"malformed HTTP")
+        parser = self.parser
+        requests = parser.feed(data)
+        for request in requests:
+            if self.lingering:  # received in one chunk with the last request that is served
+                return
+            self._request_received(request)
+        if requests:
+            self.reading = parser.in_request
+        if parser.error is not None:
+            self.reject(parser.error.status, parser.error.text)
+        elif parser.expects_continue and self.transport and not self.lingering:
+            parser.expects_continue = False
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _request_received(self, request: Request) -> None:
+        received_at = self.loop.time() - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
+        exchange = Exchange(self, request, received_at)
+        self.reading, self.phase_started_at, self.has_received_request = False, self.loop.time(), True
+        if self.active is None and self.write_blocked_since is None:
+            self.active = exchange
+            self._serve(exchange)
         else:
-            if self.rejection is None and not self.head_done and self.head_bytes > self.server.limits.max_head_bytes:
-                self.reject(431, b"header section too large")
+            self.pipelined.append(exchange)
 
     def pause_writing(self) -> None:
         self.write_blocked_since = self.loop.time()
 
     def resume_writing(self) -> None:
         self.write_blocked_since = None
-
-    # -- callbacks of httptools
-    def on_message_begin(self) -> None:
-        self.reading = True
-
-    def on_url(self, url: bytes) -> None:
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        key = name.lower()
-        if key in self.headers and key in (b"host", b"content-length", b"transfer-encoding"):
-            raise _RequestError(400, b"a header that may come once came twice")
-        self.headers[key] = self.headers[key] + b", " + value if key in self.headers else value
-
-    def on_headers_complete(self) -> None:
-        self.head_done = True
-        limits = self.server.limits
-        if self.head_bytes > limits.max_head_bytes + limits.max_body_bytes:
-            raise _RequestError(431, b"header section too large")
-        if sum(len(k) + len(v) for k, v in self.headers.items()) > limits.max_head_bytes:
-            raise _RequestError(431, b"header section too large")
-        if b"content-length" in self.headers and b"transfer-encoding" in self.headers:
-            raise _RequestError(400, b"both a length and a transfer encoding")
-        length = self.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > limits.max_body_bytes:
-            raise _RequestError(413, b"body too large")
-        if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport and not self.lingering:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        self.body_bytes += len(body)
-        if self.body_bytes > self.server.limits.max_body_bytes:
-            raise _RequestError(413, b"body too large")
-        self.chunks.append(body)
-
-    def on_message_complete(self) -> None:
-        if self.lingering:  # received in one chunk with the last request that is served
-            return
-        keep = self.parser.should_keep_alive()
-        received_at = self.loop.time() - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
-        exchange = Exchange(self, self.parser.get_method(), self.target, self.headers, keep, received_at)
-        exchange.body = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
-        self._reset_message()
-        self.reading, self.phase_started_at, self.has_received_request = False, self.loop.time(), True
         if self.active is None:
-            self.active = exchange
-            self._serve(exchange)
-            return
-        self.pipelined.append(exchange)
+            self._set_serving(0)
+            self.loop.call_soon(self._serve_next)  # a write that fails in this callback would confuse asyncio
 
     # -- responses
     def write_answer(self, exchange: Exchange, status: int, body: bytes, content_type: bytes, extra: Headers) -> None:
@@ -455,6 +440,7 @@
             head.append(body)
         transport.write(b"".join(head))
         self.active = None
+        self._set_serving(transport.get_write_buffer_size())
         self.phase_started_at = self.loop.time()
         if not keep:
             self.pipelined.clear()  # later requests are not served
@@ -463,7 +449,8 @@
             self.loop.call_soon(self._serve_next)
 
     def _serve_next(self) -> None:
-        if self.active is not None or self.transport is None or self.lingering:
+        """Serves the request that has waited longest, unless the last response is still unsent."""
+        if self.active is not None or self.transport is None or self.lingering or self.write_blocked_since is not None:
             return
         if self.pipelined:
             self.active = self.pipelined.popleft()
@@ -474,9 +461,14 @@
             self.reject(*self.rejection)
         elif self.unparsed:
             self._parse_buffered()
+        self._report_waiting()
 
     def _serve(self, exchange: Exchange) -> None:
         """Calls the handler. An exception fails only its own request, with a status of 500."""
+        if exchange.is_shed or not self.server.held.admits(exchange.size):
+            exchange.respond(503, b"too much input is held", b"text/plain")
+            return
+        self._set_serving(exchange.size)
         try:
             self.server.handler(exchange)
         except Exception as err:
@@ -487,7 +479,9 @@
         """Rejects invalid input once and closes the connection, after the responses to earlier requests."""
         if self.lingering or self.transport is None or self.transport.is_closing():
             return
-        self.rejection = self.rejection or (status, text)
+        if self.rejection is None:
+            self.rejection = (status, text)
+            self._drop_input()
         if self.has_open_requests():
             return
         head = b"HTTP/1.1 %d %s\r\ncontent-length: %d\r\ncontent-type: text/plain\r\nconnection: close\r\n\r\n"
@@ -516,11 +510,3 @@
             limits.idle_timeout_s if self.has_received_request else limits.first_byte_timeout_s
         ):
             self.close_if_idle()
-
-
-class _RequestError(Exception):
-    """A request that is rejected while it is parsed, with the status and text of the response."""
-
-    def __init__(self, status: int, text: bytes) -> None:
-        super().__init__(text)
-        self.status, self.text = status, text
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -77,6 +77,7 @@
             self.rejected += 1
             exchange.respond(err.status, err.reason.encode() + b"\n", TEXT)
             return
+        exchange.body = b""  # the query holds a decoded copy
         pending = self.open[request_id] = _OpenRequest(self, request_id, exchange)
         exchange.on_disconnect = pending.client_disconnected
         pending.query_id = self.driver.submit(plan, pending)
--- a/tests/broker_process.py
+++ b/tests/broker_process.py
@@ -49,6 +49,7 @@
     status: int | None
     at: float
     body: bytes = b""
+    is_last: bool = False  # the response closes its connection
 
 
 @dataclass(slots=True)
@@ -79,7 +80,7 @@
         int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length")
     )
     body = await reader.readexactly(length)
-    return Answer(status, time.monotonic(), body)
+    return Answer(status, time.monotonic(), body, b"connection: close" in head.lower())
 
 
 class BrokerProcess:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -119,6 +119,11 @@
 
     def resume_reading(self): ...
 
+    def set_write_buffer_limits(self, high): ...
+
+    def get_write_buffer_size(self):
+        return 0
+
 
 http_fragments = st.sampled_from(
     [
