Requests of a connection are begun in one place, in order, one in an iteration of the event loop

And 150 clients that send invalid requests without end and read nothing kept the event loop in one iteration for seconds: 19 requests of usual clients had no answer within 2.55 s.

Cause: a request that was parsed while none was open was served at once, also in the iteration in which the next of those that wait was only scheduled. So it overtook them. And a request that is answered at once was followed by the next one in the same loop over up to 256 KB of input.

Change: a received request always joins the queue; _begin_next alone makes one active, and after each response not before the next iteration of the event loop.

Evidence: test_a_request_read_right_after_a_response_is_served_after_those_that_wait and test_many_requests_that_are_answered_at_once_do_not_keep_the_event_loop_busy failed before and pass now.

--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -238,6 +238,7 @@
         self.unparsed = bytearray()  # input beyond the requests that are parsed ahead
         self.discarded_bytes = 0  # received after the last request that is served
         self.lingering = self.paused = False
+        self._turn_scheduled = False  # the next request is served in the next iteration of the event loop
         self._timer: asyncio.TimerHandle | None = None  # of the lingering close, or of polling for a hang-up
         self.waiting_bytes = 0  # taken by input that is not being served yet
         self.serving_bytes = 0  # taken by the request that is being served, or by its unsent response
@@ -407,11 +408,8 @@
         received_at = self.loop.time() - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
         exchange = Exchange(self, request, received_at)
         self.reading, self.phase_started_at, self.has_received_request = False, self.loop.time(), True
-        if self.active is None and self.write_blocked_since is None:
-            self.active = exchange
-            self._serve(exchange)
-        else:
-            self.pipelined.append(exchange)
+        self.pipelined.append(exchange)
+        self._begin_next()
 
     def pause_writing(self) -> None:
         self.write_blocked_since = self.loop.time()
@@ -420,7 +418,7 @@
         self.write_blocked_since = None
         if self.active is None:
             self._set_serving(0)
-            self.loop.call_soon(self._serve_next)  # a write that fails in this callback would confuse asyncio
+            self._schedule_turn()  # a write that fails in this callback would confuse asyncio
 
     # -- responses
     def write_answer(self, exchange: Exchange, status: int, body: bytes, content_type: bytes, extra: Headers) -> None:
@@ -445,24 +443,42 @@
         if not keep:
             self.pipelined.clear()  # later requests are not served
             self._linger()
-        elif more:
-            self.loop.call_soon(self._serve_next)
-
-    def _serve_next(self) -> None:
-        """Serves the request that has waited longest, unless the last response is still unsent."""
-        if self.active is not None or self.transport is None or self.lingering or self.write_blocked_since is not None:
+        else:
+            self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        """Lets the next request be served in the next iteration of the event loop, after other connections' events."""
+        if not self._turn_scheduled:
+            self._turn_scheduled = True
+            self.loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Serves the next request, or what follows the last one, and parses further input."""
+        self._turn_scheduled = False
+        if not self._may_begin():
             return
         if self.pipelined:
-            self.active = self.pipelined.popleft()
-            if len(self.pipelined) < MAX_PIPELINED // 2:
+            if len(self.pipelined) <= MAX_PIPELINED // 2:
                 self._parse_buffered()
-            self._serve(self.active)
+            self._begin_next()
         elif self.rejection is not None:
             self.reject(*self.rejection)
         elif self.unparsed:
             self._parse_buffered()
         self._report_waiting()
 
+    def _may_begin(self) -> bool:
+        """Whether a request may be served: none is open, the last response is sent, and its turn has ended."""
+        if self.transport is None or self.lingering or self._turn_scheduled:
+            return False
+        return self.active is None and self.write_blocked_since is None
+
+    def _begin_next(self) -> None:
+        """Serves the request that has waited longest. No other function makes a request the active one."""
+        if self.pipelined and self._may_begin():
+            self.active = self.pipelined.popleft()
+            self._serve(self.active)
+
     def _serve(self, exchange: Exchange) -> None:
         """Calls the handler. An exception fails only its own request, with a status of 500."""
         if exchange.is_shed or not self.server.held.admits(exchange.size):
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -264,6 +264,80 @@
     run(main)
 
 
+class ClientTransport:
+    """A transport that records what is written."""
+
+    def __init__(self):
+        self.written = b""
+
+    def write(self, data):
+        self.written += data
+
+    def write_eof(self): ...
+
+    def abort(self): ...
+
+    def is_closing(self):
+        return False
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def set_write_buffer_limits(self, high): ...
+
+    def pause_reading(self): ...
+
+    def resume_reading(self): ...
+
+    def get_extra_info(self, name): ...
+
+
+def test_a_request_read_right_after_a_response_is_served_after_those_that_wait():
+    # It was served at once, before the waiting ones were: clients got each other's answers (review/1).
+    async def main():
+        requests, transport = [], ClientTransport()
+        server = HttpServer(requests.append, ServerLimits())
+        connection = http._Connection(server, asyncio.get_running_loop())
+        connection.connection_made(transport)
+        connection.data_received(GET % 0 + GET % 1 + GET % 2)
+        for number in range(40):
+            exchange = requests.pop()
+            assert exchange.target == b"/%d" % number
+            assert exchange.respond(200, exchange.target, b"")
+            connection.data_received(GET % (number + 3))  # in the loop iteration of the response
+            assert not requests
+            while not requests:
+                await asyncio.sleep(0)
+        assert re.findall(rb"\r\n\r\n/(\d+)", transport.written) == [b"%d" % n for n in range(40)]
+        connection.connection_lost(None)
+
+    run(main)
+
+
+def test_many_requests_that_are_answered_at_once_do_not_keep_the_event_loop_busy():
+    # All requests of a read of 256 KB were answered in one iteration: with many such clients it took seconds.
+    async def main():
+        async with ServerWithClients() as subject:
+            served = []
+
+            def handle(exchange):
+                served.append(exchange)
+                exchange.respond(404, b"no", b"text/plain")
+
+            subject.server.handler = handle
+            clients = [(await subject.client())[0] for _ in range(3)]
+            loop = asyncio.get_running_loop()
+            sending = [loop.create_task(loop.sock_sendall(sock, GET % 1 * 3000)) for sock in clients]
+            while len(served) < 1000:
+                before = len(served)
+                await asyncio.sleep(0)
+                assert len(served) - before <= len(clients)
+            for task in sending:
+                task.cancel()
+
+    run(main)
+
+
 # -- closing an idle connection in the loop iteration in which its next request arrives
 
 
--- /dev/null
+++ b/tests/test_pipelining.py
@@ -0,0 +1,93 @@
+"""Pipelined requests of one connection in any interleaving of input, responses and iterations of the event loop."""
+
+import asyncio
+import re
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from badgerbend.net.server import HttpServer, ServerLimits, _Connection
+from tests.test_crossings_clients import GET, ClientTransport
+
+REQUESTS = 60
+POST = b"POST /%d HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+STREAM = b"".join((GET if number % 3 else POST) % number for number in range(REQUESTS))
+ANSWERED = re.compile(rb"\r\n\r\n/(\d+)")
+
+steps = st.lists(
+    st.one_of(
+        st.tuples(st.just("receive"), st.integers(1, 400)),
+        st.tuples(st.just("respond"), st.just(0)),
+        st.tuples(st.just("iterate"), st.integers(1, 3)),
+        st.tuples(st.just("block"), st.just(0)),
+        st.tuples(st.just("unblock"), st.just(0)),
+    ),
+    max_size=80,
+)
+
+
+class Subject:
+    """A connection, the requests that it serves, and the bytes that it has not received yet.
+
+    answers_at_once: whether the handler answers each third request before it returns.
+    """
+
+    def __init__(self, answers_at_once):
+        self.answers_at_once, self.open, self.sent = answers_at_once, [], 0
+        self.transport = ClientTransport()
+        server = HttpServer(self.handle, ServerLimits())
+        self.connection = _Connection(server, asyncio.get_running_loop())
+        self.connection.connection_made(self.transport)
+
+    def handle(self, exchange):
+        assert not self.open  # one at a time
+        assert self.connection.write_blocked_since is None
+        self.open.append(exchange)
+        if self.answers_at_once and exchange.target.endswith((b"1", b"2", b"3")):
+            self.respond()
+
+    def respond(self):
+        if self.open:
+            exchange = self.open.pop()
+            assert exchange.respond(200, exchange.target, b"")
+
+    def receive(self, count):
+        data = STREAM[self.sent : self.sent + count]
+        self.sent += len(data)
+        if data:
+            self.connection.data_received(data)
+
+    def block(self):
+        self.connection.pause_writing()
+
+    def unblock(self):
+        if self.connection.write_blocked_since is not None:
+            self.connection.resume_writing()
+
+    def answered(self):
+        return [int(number) for number in ANSWERED.findall(self.transport.written)]
+
+
+@settings(max_examples=300, deadline=None)
+@given(steps, st.booleans())
+def test_each_response_is_for_the_request_at_its_place(drawn, answers_at_once):
+    async def main():
+        subject = Subject(answers_at_once)
+        for step, count in drawn:
+            if step == "iterate":
+                for _ in range(count):
+                    await asyncio.sleep(0)
+            elif step == "receive":
+                subject.receive(count)
+            else:
+                getattr(subject, step)()
+            assert subject.answered() == list(range(len(subject.answered())))
+        subject.unblock()
+        subject.receive(len(STREAM))
+        for _ in range(3 * REQUESTS):
+            subject.respond()
+            await asyncio.sleep(0)
+        assert subject.answered() == list(range(REQUESTS))
+        subject.connection.connection_lost(None)
+
+    asyncio.run(main())
