Connections to nodes that fail keep none of the input they had read

Cause: the decoder kept its error as the exception, whose traceback refers to the frames of its callers and so to a read of up to 256 KB, in a reference cycle that only a rare collection of garbage frees. And a failed attempt refers to its channel until its query ends, and the channel kept the incomplete frame.

Change: the decoder's error has no traceback; a channel that ends drops its incomplete frame.

--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -272,6 +272,7 @@
         sent = [a for a in self.in_flight.values() if id(a) not in incomplete]
         self.in_flight, self.last_call = {}, []
         self.cancelled.clear()
+        self.decoder.discard()  # attempts that have failed refer to their channel until their query ends
         self.owner.forget(self)
         for attempt in unsent:
             self.owner.ended(attempt, Outcome.CONNECT_FAILED, None)
--- a/badgerbend/frames/codec.py
+++ b/badgerbend/frames/codec.py
@@ -101,6 +101,10 @@
         """Whether part of a frame has been received."""
         return bool(self.buffer)
 
+    def discard(self) -> None:
+        """Drops what was received of an incomplete frame."""
+        self.buffer = bytearray()
+
     def feed(self, data: bytes) -> list[PartAnswer | ControlFrame]:
         """Returns the messages that are now complete; sets `error` if the bytes after them cannot be decoded."""
         out: list[PartAnswer | ControlFrame] = []
@@ -129,8 +133,8 @@
                     self._decode_answer(payload) if kind == self._answer_kind else ControlFrame(bytes([kind]), payload)
                 )
         except FrameError as err:
-            self.error = err
-            self.buffer = bytearray()
+            self.error = err.with_traceback(None)  # the traceback would keep the input in memory
+            self.discard()
             return out
         del buffer[:offset]
         return out
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,6 +1,7 @@
 """Frames: decoding in arbitrary pieces, invalid answers, and outcomes of parts when their connection ends."""
 
 import asyncio
+import gc
 
 import pytest
 from hypothesis import given
@@ -213,6 +214,31 @@
     assert not any(one in held for held in (channel.last_call, channel.queued_calls, channel.in_flight.values()))
 
 
+def test_a_failed_connection_keeps_no_input():
+    # The error of a decoder referred by its traceback to all that had been read, and a failed attempt to its channel.
+    decoder = Decoder(FRAMES, MAX_FRAME)
+    gc.collect()
+    gc.disable()
+    try:
+        decoder.feed(INVALID["a huge length"])
+        assert decoder.error.__traceback__ is None
+        assert not decoder.buffer
+        del decoder
+        assert gc.collect() == 0
+    finally:
+        gc.enable()
+
+
+def test_an_attempt_whose_connection_ended_within_a_frame_keeps_no_input(channel_setup):
+    channel, fake, _ = channel_setup
+    channel.connection_made(fake)
+    channel.send([attempt(1)])
+    channel.data_received(answer(value=b"x" * 60_000)[:-1])
+    assert len(channel.decoder.buffer) > 60_000
+    channel.connection_lost(None)
+    assert not channel.decoder.buffer
+
+
 def test_queued_calls_are_written_later_and_are_returned_for_a_drain(channel_setup):
     channel, fake, owner = channel_setup
     channel.connection_made(fake)
