Calls to nodes hold at most 64 KB of text, unless one part alone has more

Cause: a call of up to 16 parts with 60 KB each is written as one frame. While a node reads nothing, each connection to it buffers one call: 0.3 of the descriptors times a megabyte, which nothing else bounded.

Change: FrameTransport splits attempts whose texts add up to more than 64 KB into calls. Calls with usual texts (8 bytes) stay as they are.

Evidence: test_large_texts_do_not_share_a_call failed before (one call of 8 parts; checked by reading the old send) and passes now. The bound for the process is then 0.3 of the descriptors times 64 KB: 11 MB at 576.

--- a/badgerbend/frames/transport.py
+++ b/badgerbend/frames/transport.py
@@ -17,6 +17,7 @@
 from badgerbend.runtime.ports import Attempt
 
 AttemptCallback = Callable[[Attempt, Outcome, object, tuple[float, ...]], None]
+MAX_CALL_BYTES = 65_536  # of the texts of one call; while a node reads nothing, each of its connections buffers one
 # Fraction of the idle timeout of the other side. Later than this, a request could cross the closing of the connection.
 IDLE_FRACTION = 0.9
 
@@ -67,7 +68,14 @@
 
     # -- ports.Transport
     def send(self, node: int, attempts: Sequence[Attempt]) -> None:
-        """Sends attempts to a node in one call; ends them as not sent if the node is draining or off the list."""
+        """Sends attempts to a node; ends them as not sent if the node is draining or off the list.
+
+        They share a call, unless their texts are too large for one.
+        """
+        for call in _split(attempts):
+            self._send_call(node, call)
+
+    def _send_call(self, node: int, attempts: Sequence[Attempt]) -> None:
         address = self.address_of(node)
         if address is None or node in self.draining:
             self._end_all(attempts, Outcome.NOT_SENT)
@@ -221,3 +229,17 @@
         self.addresses.pop(node, None)
         for channel in channels:
             self._end_all(channel.withdraw(), Outcome.NOT_SENT)
+
+
+def _split(attempts: Sequence[Attempt]) -> list[list[Attempt]]:
+    """Splits attempts into calls of at most `MAX_CALL_BYTES` of text; a call has at least one attempt."""
+    calls: list[list[Attempt]] = []
+    size = MAX_CALL_BYTES + 1  # so that the first attempt begins a call
+    for attempt in attempts:
+        text_size = len(part_request(attempt).text)
+        if size + text_size > MAX_CALL_BYTES:
+            calls.append([])
+            size = 0
+        calls[-1].append(attempt)
+        size += text_size
+    return calls
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -437,6 +437,22 @@
     run(main)
 
 
+def test_large_texts_do_not_share_a_call():
+    # A call of 16 parts with 60 KB each lay in the write buffer of each connection to a node that reads nothing.
+    async def main():
+        node = FrameNode(lambda part: None)
+        transport, _, _ = await transport_to(await node.start(), streams=8)
+        large, small = b"x" * 30_000, b"y" * 100
+        transport.send(1, [attempt(n, text=large) for n in range(5)] + [attempt(n, text=small) for n in range(5, 8)])
+        await until(lambda: len(node.parts()) == 8)
+        assert [len(call) for call in node.calls] == [2, 2, 4]
+        assert node.accepted == 1
+        transport.close()
+        node.stop()
+
+    run(main)
+
+
 def test_attempts_beyond_the_connection_limit_end_as_not_sent():
     async def main():
         node = FrameNode(lambda part: None)
