A response with nothing behind it leaves the connection ready for the next request at once

Cause: since requests are begun in one place, each response put off the next request to the next iteration of the event loop, also where none waited.

Change: a turn is scheduled if something waits, or if the handler answered at once, which could go on without end.

Evidence: tests/test_capacity_lists.py, test_pipelining.py and test_crossings_clients.py pass.

--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -239,6 +239,7 @@
         self.discarded_bytes = 0  # received after the last request that is served
         self.lingering = self.paused = False
         self._turn_scheduled = False  # the next request is served in the next iteration of the event loop
+        self._in_handler = False  # a response that is written now was made without waiting
         self._timer: asyncio.TimerHandle | None = None  # of the lingering close, or of polling for a hang-up
         self.waiting_bytes = 0  # taken by input that is not being served yet
         self.serving_bytes = 0  # taken by the request that is being served, or by its unsent response
@@ -443,7 +444,7 @@
         if not keep:
             self.pipelined.clear()  # later requests are not served
             self._linger()
-        else:
+        elif more or self._in_handler:
             self._schedule_turn()
 
     def _schedule_turn(self) -> None:
@@ -481,15 +482,18 @@
 
     def _serve(self, exchange: Exchange) -> None:
         """Calls the handler. An exception fails only its own request, with a status of 500."""
-        if exchange.is_shed or not self.server.held.admits(exchange.size):
-            exchange.respond(503, b"too much input is held", b"text/plain")
-            return
-        self._set_serving(exchange.size)
+        self._in_handler = True
         try:
+            if exchange.is_shed or not self.server.held.admits(exchange.size):
+                exchange.respond(503, b"too much input is held", b"text/plain")
+                return
+            self._set_serving(exchange.size)
             self.server.handler(exchange)
         except Exception as err:
             self.loop.call_exception_handler({"message": "the request handler raised an exception", "exception": err})
             exchange.respond(500, b"internal error", b"text/plain")
+        finally:
+            self._in_handler = False
 
     def reject(self, status: int, text: bytes) -> None:
         """Rejects invalid input once and closes the connection, after the responses to earlier requests."""
