Values that no answer can hold fail their attempts, and kept values count as held memory

Cause: each part of an open query kept a value of up to 64 KB, 38 MB for 600 parts, and they were written as one answer of up to a megabyte, though a body holds at most 64 KiB.

Change: values are counted for their request in the memory that all connections hold. An attempt whose value makes the answer larger than 64 KiB, or finds no memory left beyond the connection's share, ends as failed and may have run.

--- a/badgerbend/net/held_memory.py
+++ b/badgerbend/net/held_memory.py
@@ -53,9 +53,10 @@
         self.shed += 1
         largest.shed_waiting()
 
-    def admits(self, size: int) -> bool:
-        """Whether a request of this size may be served now."""
-        is_admitted = size <= self.share_bytes or self.waiting_bytes + self.serving_bytes + size <= self.max_bytes
+    def admits(self, size: int, held: int = 0) -> bool:
+        """Whether a request may hold this much, beside what it holds already."""
+        is_within_share = held + size <= self.share_bytes
+        is_admitted = is_within_share or self.waiting_bytes + self.serving_bytes + size <= self.max_bytes
         self.refused += not is_admitted
         return is_admitted
 
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -94,6 +94,10 @@
         """Whether the peer has closed the connection, read or not yet; if so, the connection is aborted."""
         return self.disconnected or self._connection.abort_if_peer_left()
 
+    def hold(self, size: int) -> bool:
+        """Counts further memory that is held for this request until its response. Returns False if there is none."""
+        return not self.disconnected and self._connection.active is self and self._connection.hold(size)
+
     def respond(self, status: int, body: bytes, content_type: bytes, extra: Headers = ()) -> bool:
         """Writes the response. Returns False, and writes nothing, if the peer has disconnected or was answered."""
         if self.disconnected or self._connection.active is not self:
@@ -298,6 +302,13 @@
         if size != self.waiting_bytes:
             self.server.held.set_waiting(self, size)
 
+    def hold(self, size: int) -> bool:
+        """Counts further memory that is held for the active request, if it is admitted."""
+        if not self.server.held.admits(size, self.serving_bytes):
+            return False
+        self._set_serving(self.serving_bytes + size)
+        return True
+
     def _set_serving(self, size: int) -> None:
         self.server.held.add_serving(size - self.serving_bytes)
         self.serving_bytes = size
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -25,6 +25,7 @@
 ID = re.compile(rb"[0-9A-Za-z_\-]{1,128}").fullmatch  # stands in a frame's line: no space, comma or line break
 TOKEN = re.compile(r"[0-9A-Fa-f]{16}").fullmatch
 MAX_TIME_LEFT_DIGITS = 9  # in milliseconds: eleven days
+MAX_ANSWER_BYTES = 65_536  # of the values of one answer, whose body may hold no more
 WEIGHT_TOLERANCE = 1e-3  # clients send rounded weights
 _encode = msgspec.json.encode
 
@@ -82,6 +83,11 @@
         exchange.on_disconnect = pending.client_disconnected
         pending.query_id = self.driver.submit(plan, pending)
 
+    def keep_value(self, part_id: bytes, value: bytes) -> bool:
+        """Counts a value that is kept until its request is answered. Returns False if it is too large to be kept."""
+        pending = self.open.get(part_id.rpartition(b".")[0])
+        return pending is None or pending.keep_value(len(value))
+
     def read(self, exchange: Exchange) -> tuple[bytes, QueryPlan]:
         """Returns the id and the query of a request. Raises Rejected."""
         if exchange.method != b"POST":
@@ -160,11 +166,18 @@
 class _OpenRequest:
     """One open request; it implements the runtime's `Sink`."""
 
-    __slots__ = ("exchange", "front", "query_id", "request_id")
+    __slots__ = ("exchange", "front", "query_id", "request_id", "value_bytes")
 
     def __init__(self, front: Front, request_id: bytes, exchange: Exchange) -> None:
         self.front, self.request_id, self.exchange = front, request_id, exchange
         self.query_id: int | None = None
+        self.value_bytes = 0  # of the values that have been received
+
+    def keep_value(self, size: int) -> bool:
+        if self.value_bytes + size > MAX_ANSWER_BYTES or not self.exchange.hold(size):
+            return False
+        self.value_bytes += size
+        return True
 
     def client_has_left(self) -> bool:
         return self.exchange.client_has_left()
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -10,11 +10,13 @@
 from collections.abc import Callable, Mapping
 
 from badgerbend import api
+from badgerbend.api import Outcome
 from badgerbend.decisions import Aggregator
 from badgerbend.discovery.directory import Directory, ListError
 from badgerbend.discovery.members import MembersTarget, departure_parser, row_parser
 from badgerbend.discovery.wall_clock import SteadyUnixClock
 from badgerbend.discovery.watch import Watch
+from badgerbend.frames.channel import part_request
 from badgerbend.frames.transport import FrameLimits, FrameTransport
 from badgerbend.net.server import HttpServer, ServerLimits
 from badgerbend.platform import names
@@ -23,6 +25,7 @@
 from badgerbend.platform.log_observer import LogObserver
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.loop import LoopSchedule
+from badgerbend.runtime.ports import Attempt
 
 MAX_BODY = 65_536  # bytes of a request, of an answer and therefore of a value
 READ_TIMEOUT_S = 2.0  # a request that has not arrived completely by then is rejected
@@ -74,7 +77,7 @@
                 MAX_BODY,
             ),
             lambda node: self.directory.addresses.get(node),
-            lambda *end: self.driver.attempt_completed(*end),
+            self._attempt_completed,
             self.observer.report_fault,
             lambda attempt: self.driver.is_wanted(attempt),
         )
@@ -145,6 +148,15 @@
         except TimeoutError:
             self.observer.report_fault("list not read", "the agent has not answered yet; listening with the known list")
 
+    def _attempt_completed(
+        self, attempt: Attempt, outcome: Outcome, value: object, report: tuple[float, ...] = ()
+    ) -> None:
+        """Passes on the end of an attempt. One whose value is too large to be kept has failed, and may have run."""
+        if isinstance(value, bytes) and not self.front.keep_value(part_request(attempt).id, value):
+            self.observer.report_fault("value too large", f"part {attempt.part_id}: {len(value)} bytes")
+            outcome, value = Outcome.ERROR, None
+        self.driver.attempt_completed(attempt, outcome, value, report)
+
     def _target(self, config: Config) -> MembersTarget:
         settings = self.config.settings  # reloaded settings take effect at the next start
         return MembersTarget(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -427,6 +427,26 @@
     run(main)
 
 
+def test_values_that_no_answer_can_hold_fail_their_attempts():
+    # Values of up to 64 KB were kept for each part of each open query, and written as one answer of a megabyte.
+    def behave(part):
+        part.connection.send(part.answer(b"served", b"v" * 30_000))
+
+    async def main():
+        async with Stage(behave=behave, limits={"cores": 1.0, "memory_mb": 32, "sockets": 1024}) as s:
+            held = s.service.server.held
+            assert (await s.ask((1, 2)))[0] == 200
+            status, _ = await s.ask((1, 2, 3), X_Time_Left_Ms="500")
+            assert status in (502, 503)
+            assert [w for w, v in s.troubles if w == "trouble" and v["kind"] == "value too large"]
+            await until(lambda: held.serving_bytes == 0)
+            held.add_serving(held.max_bytes)
+            status, _ = await s.ask((1, 2), X_Time_Left_Ms="500")  # values beyond a connection's share
+            assert status in (502, 503)
+
+    run(main)
+
+
 def test_a_valid_answer_with_an_unreadable_report_counts():
     async def main():
         async with Stage(behave=lambda p: p.connection.send(p.answer(b"served", p.value(), b"{\xff,,"))) as s:
