Answers of peers take a bounded amount of memory, and none once their call is aborted

Cause: a connection kept the chunks of its answer after its end, and the aborted poll refers to it until a collection of garbage, which is rare. Up to 16 polls held 4 MB each. Chunks were kept one by one, headers and trailers had no limit.

Change: net/client.py keeps an answer in one piece, drops it when the connection ends, allows 100 headers and 64 KB without content, and fails the answers that came least far while all of a pool's take more than two of the largest size.

--- a/badgerbend/net/client.py
+++ b/badgerbend/net/client.py
@@ -15,6 +15,11 @@
 
 import httptools
 
+from badgerbend.net.request_parser import HEADER_OVERHEAD_BYTES, MAX_HEADERS
+
+MAX_HEAD_BYTES = 65_536  # of a response, or of what else comes without content
+HELD_ANSWERS = 2  # incomplete answers of the largest size that the connections of a pool hold together
+
 
 class CallResult(Enum):
     """How a call ended."""
@@ -79,6 +84,7 @@
         self.open: set[_Connection] = set()
         self.opened = 0
         self.unsolicited = 0  # responses received without a request
+        self.held_bytes = 0  # taken by the incomplete answers of all connections
         self.closed = False
         self._connect_tasks: set[asyncio.Task[None]] = set()
 
@@ -134,6 +140,11 @@
         else:
             connection.start(call)
 
+    def limit_held(self) -> None:
+        """Fails the answers that have come least far, while incomplete ones take too much memory together."""
+        while self.held_bytes > HELD_ANSWERS * self.limits.max_answer_bytes:
+            min((connection for connection in self.open if connection.size), key=lambda c: c.size).fail()
+
     def close_idle(self) -> None:
         while self.idle:
             self.idle.pop().abort()
@@ -161,7 +172,9 @@
         self.call: Call | None = None
         self.idle_since = loop.time()
         self.parser = httptools.HttpResponseParser(self)
-        self.headers, self.chunks, self.size = dict[bytes, bytes](), list[bytes](), 0
+        self.headers, self.body = dict[bytes, bytes](), bytearray()
+        self.size = 0  # taken by the incomplete answer
+        self._header_count = self._bytes_without_content = 0
         self.completed: tuple[Call, Reply] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -171,6 +184,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         del self.parser  # breaks the reference cycle; else connections stay until the garbage collector runs
+        self._reset_answer()  # the call of an aborted poll may refer to this connection for longer
         self.pool.open.discard(self)
         if self in self.pool.idle:
             self.pool.idle.remove(self)
@@ -184,7 +198,7 @@
     def start(self, call: Call) -> None:
         assert self.transport is not None
         self.call, call.connection = call, self
-        self.headers, self.chunks, self.size = {}, [], 0
+        self._reset_answer()
         self.transport.write(call.data)
 
     def data_received(self, data: bytes) -> None:
@@ -193,41 +207,65 @@
             self.abort()
             return
         self.call.received += len(data)
+        self._bytes_without_content += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            call, self.call = self.call, None
-            self.abort()
-            if call is not None:
-                call.finish(Reply(CallResult.MALFORMED, 0, {}, b""))
+            self.fail()
+            return
+        if self.completed is None and self._bytes_without_content > MAX_HEAD_BYTES:
+            self.fail()
             return
         # The callback is called here and not by the parser, which would report its exceptions as a malformed response.
         if self.completed is not None:
             (call, reply), self.completed = self.completed, None
             call.finish(reply)
+        else:
+            self.pool.limit_held()
+
+    def fail(self) -> None:
+        """Ends the call because of its answer, and closes the connection."""
+        call, self.call = self.call, None
+        self._reset_answer()
+        self.abort()
+        if call is not None:
+            call.finish(Reply(CallResult.MALFORMED, 0, {}, b""))
+
+    def _reset_answer(self) -> None:
+        self.headers, self.body = {}, bytearray()
+        self._header_count = self._bytes_without_content = 0
+        self.pool.held_bytes -= self.size
+        self.size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
+            raise ValueError("response has too many headers")
         self.headers[name.lower()] = value
-        self.size += len(name) + len(value)
-        self._check_size()
+        self._hold(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+
+    def on_headers_complete(self) -> None:
+        self._bytes_without_content = 0
 
     def on_body(self, body: bytes) -> None:
-        self.chunks.append(body)
-        self.size += len(body)
-        self._check_size()
+        self._bytes_without_content = 0
+        self.body += body
+        self._hold(len(body))
 
-    def _check_size(self) -> None:
+    def _hold(self, size: int) -> None:
+        self.size += size
+        self.pool.held_bytes += size
         if self.size > self.pool.limits.max_answer_bytes:
             raise ValueError("response exceeds the size limit")
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
         if status < 200:  # an interim response such as 100 Continue
-            self.headers, self.chunks = {}, []
+            self._reset_answer()
             return
         call, self.call = self.call, None
-        body = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
-        reply = Reply(CallResult.ANSWER, status, self.headers, body)
+        reply = Reply(CallResult.ANSWER, status, self.headers, bytes(self.body))
+        self._reset_answer()
         if self.parser.should_keep_alive():
             self.loop.call_soon(self.release)  # after the parser has consumed the rest of the data
         else:
--- a/tests/memory_faults.py
+++ b/tests/memory_faults.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import subprocess
 import sys
 import time
@@ -30,11 +31,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Case:
-    """form: of the bad clients in tests/memory_clients.py. nodes: how nodes answer. settings: changes to them."""
+    """form: of the bad clients in tests/memory_clients.py. nodes: how nodes answer. settings: changes to them.
+
+    agent: how the discovery agent answers that a new configuration names.
+    """
 
     form: str | None = None
     clients: int = 150
     nodes: str = "slow"
+    agent: str | None = None
     limits: dict[str, float] = field(default_factory=lambda: {"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS})
     settings: dict[str, object] = field(default_factory=dict)
 
@@ -107,6 +112,47 @@
 }
 
 
+# -- how the discovery agent answers
+ANSWER_BYTES = 4_000_000  # an answer may hold 4 MiB
+AGENT_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+LIST_START = b'{"rev":9,"all":true,"targets":['
+
+
+def in_tiny_chunks(data):
+    return b"".join(b"2\r\n%s\r\n" % data[at : at + 2] for at in range(0, len(data) - 1, 2))
+
+
+AGENTS = {  # what is sent in answer to each poll; the rest never comes
+    "large": AGENT_HEAD + b"Content-Length: %d\r\n\r\n" % ANSWER_BYTES + (LIST_START + b" " * ANSWER_BYTES)[:-99],
+    "tiny chunks": AGENT_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + in_tiny_chunks(LIST_START + b" " * 1_000_000),
+    "small headers": AGENT_HEAD + b"".join(b"%x:\r\n" % number for number in range(0x10000, 0x10000 + 400_000)),
+    "a long header": AGENT_HEAD + b"X-Long: " + b"y" * 3_000_000,
+}
+
+
+class AgentServer:
+    """Stands in for an agent: answers each poll with the same bytes."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = self.server.sockets[0].getsockname()
+
+    @property
+    def http(self):
+        return self
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.answer)
+            await writer.drain()
+            await reader.read()
+        writer.close()
+
+
 CASES = {
     "usual clients alone": Case(clients=0),
     **{form: Case(form) for form in FORMS},
@@ -130,6 +176,7 @@
         f"{form}, large values": Case(form, 150, "large_values")
         for form in ("pipelined_small", "sequential_large_many_parts", "reads_no_values")
     },
+    **{f"agent, {name}": Case(clients=0, agent=name) for name in AGENTS},
     "pipelined_small, half frames": Case("pipelined_small", 150, "half_frames"),
     "pipelined_small, endless values": Case("pipelined_small", 150, "endless_values"),
 }
@@ -151,6 +198,7 @@
             pid = broker.process.pid
             usual = [asyncio.create_task(self._usual_client(broker)) for _ in range(USUAL_CLIENTS)]
             before = await self._peak(pid, QUIET_S)
+            await self._replace_agent(broker)
             bad = self._start_bad_clients(broker.port)
             peak = await self._peak(pid, self.seconds)
             if bad is not None:
@@ -164,6 +212,14 @@
                 self.lost.append(f"the process ended with {broker.process.returncode}")
             return Result(before, peak, after, int(case.limits["memory_mb"] * 1024), self.lost, self.statuses)
 
+    async def _replace_agent(self, broker):
+        """Moves discovery to the agent of the case, if it has one."""
+        if self.case.agent is not None:
+            agent = AgentServer(AGENTS[self.case.agent])
+            await agent.start()
+            broker.write_configuration(agent)
+            broker.process.send_signal(signal.SIGHUP)
+
     def _start_bad_clients(self, port):
         if self.case.form is None:
             return None
--- a/tests/test_incident_client_memory.py
+++ b/tests/test_incident_client_memory.py
@@ -16,6 +16,7 @@
     "endless_trailers",
     "huge_chunked_body",
     "large_and_gone, quick nodes",
+    "agent, large",
 )
 
 
