A request counts from its own receipt, however long it waits behind others

Nodes were told that time.

Cause: a request got its time of receipt when it was parsed, from the time of the last segment on its connection. What waited unparsed looked new with each later byte.

Change: each read has a time, which its bytes keep while they wait (net/unparsed_input.py). What is read after a pause counts from the pause, since the kernel tells only of the last segment; this errs to a shorter time for the client.

--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -25,6 +25,7 @@
 from badgerbend.net.held_memory import HeldMemory
 from badgerbend.net.receive_delay import receive_delay_s
 from badgerbend.net.request_parser import Request, RequestParser
+from badgerbend.net.unparsed_input import UnparsedInput
 
 REASONS = {s.value: s.phrase.encode() for s in HTTPStatus}
 SWEEP_INTERVAL_S = 0.5  # between checks for slow readers and idle connections
@@ -32,6 +33,7 @@
 MAX_PIPELINED = 8  # requests parsed ahead of the current one; further input stays unparsed
 PARSE_CHUNK_BYTES = 4096  # parsed at a time: a few requests
 MAX_UNPARSED_BYTES = 16_384  # buffered before reading is paused
+FULL_READ_BYTES = 65_536  # a read of fewer bytes leaves none in the kernel
 LINGER_S, LINGER_BYTES = 0.5, 262_144  # bounds of a lingering close: the response needs time to reach the client
 HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -239,9 +241,10 @@
         self.reading = False
         self.write_blocked_since: float | None = None
         self.rejection: tuple[int, bytes] | None = None  # to be sent after the responses to earlier requests
-        self.unparsed = bytearray()  # input beyond the requests that are parsed ahead
+        self.unparsed = UnparsedInput()  # input beyond the requests that are parsed ahead
         self.discarded_bytes = 0  # received after the last request that is served
         self.lingering = self.paused = False
+        self._unread_since: float | None = None  # since when input may have waited in the kernel, if it may
         self._turn_scheduled = False  # the next request is served in the next iteration of the event loop
         self._in_handler = False  # a response that is written now was made without waiting
         self._timer: asyncio.TimerHandle | None = None  # of the lingering close, or of polling for a hang-up
@@ -281,19 +284,27 @@
         if not self.reading:
             self.reading = True
             self.phase_started_at = self.loop.time() if self.has_received_request else self.phase_started_at
+        received_at = self._received_at(len(data))
         if self.unparsed or len(data) > PARSE_CHUNK_BYTES:
-            self.unparsed += data
+            self.unparsed.append(data, received_at)
             self._parse_buffered()
         else:
-            self._parse(data)
+            self._parse(data, received_at)
         self._report_waiting()
 
+    def _received_at(self, size: int) -> float:
+        """When the last byte of a read was received, or earlier: as the kernel says, or since reading was paused."""
+        received_at = self.loop.time() - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
+        if self._unread_since is not None:
+            received_at = min(received_at, self._unread_since)
+            if size < FULL_READ_BYTES:
+                self._unread_since = None
+        return received_at
+
     def _parse_buffered(self) -> None:
         """Parses buffered input until enough requests are parsed ahead."""
         while self.unparsed and len(self.pipelined) < MAX_PIPELINED and self.transport and self.rejection is None:
-            chunk = bytes(self.unparsed[:PARSE_CHUNK_BYTES])
-            del self.unparsed[:PARSE_CHUNK_BYTES]
-            self._parse(chunk)
+            self._parse(*self.unparsed.take(PARSE_CHUNK_BYTES))
         self._set_paused(len(self.unparsed) > MAX_UNPARSED_BYTES)
 
     def _report_waiting(self) -> None:
@@ -333,6 +344,8 @@
             return
         self.paused = paused
         if paused:
+            if self._unread_since is None:
+                self._unread_since = self.loop.time()
             self.transport.pause_reading()
             self._timer = self.loop.call_later(HANG_UP_POLL_S, self._poll_for_hang_up)
         else:
@@ -401,13 +414,13 @@
         else:
             self.abort()
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes, received_at: float) -> None:
         parser = self.parser
         requests = parser.feed(data)
         for request in requests:
             if self.lingering:  # received in one chunk with the last request that is served
                 return
-            self._request_received(request)
+            self._request_received(request, received_at)
         if requests:
             self.reading = parser.in_request
         if parser.error is not None:
@@ -416,8 +429,7 @@
             parser.expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _request_received(self, request: Request) -> None:
-        received_at = self.loop.time() - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
+    def _request_received(self, request: Request, received_at: float) -> None:
         exchange = Exchange(self, request, received_at)
         self.reading, self.phase_started_at, self.has_received_request = False, self.loop.time(), True
         self.pipelined.append(exchange)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -1,13 +1,17 @@
 """Pipelined requests of one connection in any interleaving of input, responses and iterations of the event loop."""
 
 import asyncio
+import itertools
 import re
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from badgerbend.net.server import HttpServer, ServerLimits, _Connection
-from tests.test_crossings_clients import GET, ClientTransport
+from badgerbend.net.unparsed_input import TIME_RESOLUTION_S, UnparsedInput
+from tests.platform_stage import run
+from tests.sockets import until
+from tests.test_crossings_clients import GET, ClientTransport, ServerWithClients, read_to_end
 
 REQUESTS = 60
 POST = b"POST /%d HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
@@ -91,3 +95,55 @@
         subject.connection.connection_lost(None)
 
     asyncio.run(main())
+
+
+arrivals = st.lists(st.tuples(st.binary(min_size=1, max_size=30), st.floats(0.0, 0.05)), max_size=30)
+
+
+@given(arrivals, st.lists(st.integers(1, 50), min_size=1))
+def test_no_byte_counts_as_received_later_than_it_was(drawn, sizes):
+    waiting, received_at, stated, now = UnparsedInput(), [], [], 0.0
+    for data, pause_s in drawn:
+        now += pause_s
+        waiting.append(data, now)
+        received_at += [now] * len(data)
+    taken = b""
+    for size in itertools.cycle(sizes):
+        if not waiting:
+            break
+        data, at = waiting.take(size)
+        assert 1 <= len(data) <= size
+        taken += data
+        stated += [at] * len(data)
+    assert taken == b"".join(data for data, _ in drawn)
+    assert all(was - TIME_RESOLUTION_S <= at <= was for at, was in zip(stated, received_at, strict=True))
+
+
+def test_a_request_that_waits_keeps_its_time_of_receipt_when_later_ones_arrive():
+    # Each later byte of a client made all that waited unparsed look new: it was answered up to 6 s late (review/2).
+    async def main():
+        async with ServerWithClients() as subject:
+            loop = asyncio.get_running_loop()
+            sock, connection = await subject.client()
+            early, late = [
+                b"".join(GET % number for number in range(*numbers)) for numbers in ((0, 3000), (3000, 3100))
+            ]
+            sent_at = loop.time()
+            sending = loop.create_task(loop.sock_sendall(sock, early + late))
+            await until(lambda: connection.paused)
+            await asyncio.sleep(0.4)
+            reading = loop.create_task(read_to_end(sock))
+            for number in range(3100):
+                await until(lambda: subject.requests)
+                exchange = subject.requests[0]
+                assert exchange.target == b"/%d" % number
+                assert exchange.received_at < sent_at + 0.3
+                subject.answer()
+                if number == 50:
+                    await sending
+                    await loop.sock_sendall(sock, GET % 9999)
+            await until(lambda: subject.requests)
+            subject.answer()
+            reading.cancel()
+
+    run(main)
