The HTTP server's connection, limits, exchange and responses are files of their own

Change: server (listening, eviction, shutdown), server_connection (one connection), server_limits, exchange (what a handler sees), responses (encoding), socket_events (what the kernel knows). _Connection is ServerConnection, and names what it needs of its server as a Protocol. Nothing that it does changes; both encoders of responses are one. tests import the new modules.

--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -29,7 +29,9 @@
 from badgerbend.log import get_logger
 from badgerbend.metrics import Metrics
 from badgerbend.net.client import PoolLimits
-from badgerbend.net.server import Exchange, HttpServer, ServerLimits
+from badgerbend.net.exchange import Exchange
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_limits import ServerLimits
 from badgerbend.peering.service import KnowledgeExchange
 from badgerbend.pools import ServerPools
 from badgerbend.runtime.driver import Driver
--- a/badgerbend/graphql/front.py
+++ b/badgerbend/graphql/front.py
@@ -34,7 +34,7 @@
     block_of,
 )
 from badgerbend.graphql.schema import Subgraph
-from badgerbend.net.server import Exchange
+from badgerbend.net.exchange import Exchange
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.ports import PartPlan, QueryPlan
 
--- a/badgerbend/lease_service/http.py
+++ b/badgerbend/lease_service/http.py
@@ -10,8 +10,8 @@
 from badgerbend.lease_service.commands import execute, parse_command
 from badgerbend.lease_service.service import LeaseService
 from badgerbend.lease_service.status import service_status
+from badgerbend.net.exchange import Exchange
 from badgerbend.net.seal import has_bearer_key
-from badgerbend.net.server import Exchange
 
 JSON = b"application/json"
 TEXT = b"text/plain"
--- /dev/null
+++ b/badgerbend/net/exchange.py
@@ -0,0 +1,90 @@
+"""One request and its one response, as a handler sees them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from badgerbend.net.request_parser import Request
+from badgerbend.net.responses import Headers
+
+
+class Connection(Protocol):
+    """What an exchange needs from the connection that it belongs to.
+
+    active: the exchange that is being served.
+    """
+
+    active: Exchange | None
+
+    def write_answer(self, exchange: Exchange, status: int, body: bytes, content_type: bytes, extra: Headers) -> None:
+        """Writes the response of the active exchange."""
+
+    def hold(self, size: int) -> bool:
+        """Counts further memory that is held for the active request, if it is admitted."""
+
+    def abort_if_peer_left(self) -> bool:
+        """Aborts the connection if the peer has closed or reset it; returns whether it has."""
+
+    def abort(self) -> None:
+        """Closes the connection without sending what is unsent."""
+
+
+class Exchange:
+    """One request and its one response."""
+
+    __slots__ = (
+        "_connection",
+        "body",
+        "disconnected",
+        "headers",
+        "is_shed",
+        "keep_alive",
+        "method",
+        "on_disconnect",
+        "received_at",
+        "size",
+        "target",
+    )
+
+    def __init__(self, connection: Connection, request: Request, received_at: float) -> None:
+        self._connection = connection
+        self.received_at = received_at  # when its last byte was received, on the loop's clock
+        self.method, self.target, self.headers = request.method, request.target, request.headers
+        self.keep_alive, self.body = request.keep_alive, request.body
+        self.size = request.size  # an estimate of the bytes that it takes in memory
+        self.is_shed = False  # refused for lack of memory while it waited
+        self.disconnected = False
+        self.on_disconnect: Callable[[], None] | None = None
+
+    def shed(self) -> None:
+        """Drops what the request holds; it will be refused in its turn."""
+        self.is_shed, self.headers, self.body, self.size = True, {}, b"", 0
+
+    @property
+    def connection_key(self) -> int:
+        """A key that all exchanges of one connection share."""
+        return id(self._connection)
+
+    def client_has_left(self) -> bool:
+        """Whether the peer has closed the connection, read or not yet; if so, the connection is aborted."""
+        return self.disconnected or self._connection.abort_if_peer_left()
+
+    def hold(self, size: int) -> bool:
+        """Counts further memory that is held for this request until its response. Returns False if there is none."""
+        return not self.disconnected and self._connection.active is self and self._connection.hold(size)
+
+    def respond(self, status: int, body: bytes, content_type: bytes, extra: Headers = ()) -> bool:
+        """Writes the response. Returns False, and writes nothing, if the peer has disconnected or was answered."""
+        if self.disconnected or self._connection.active is not self:
+            return False
+        self._connection.write_answer(self, status, body, content_type, extra)
+        return True
+
+    def drop(self) -> None:
+        """Aborts the connection without a response."""
+        if not self.disconnected and self._connection.active is self:
+            self._connection.abort()
+
+
+Handler = Callable[[Exchange], None]
--- a/badgerbend/peering/exchange.py
+++ b/badgerbend/peering/exchange.py
@@ -12,8 +12,10 @@
 
 from badgerbend.knowledge.record import MAX_RECORD_BYTES, KnowledgeRecord, RecordError, aged, decode, encode
 from badgerbend.net.client import Call, CallResult, Pool, PoolLimits, Reply
+from badgerbend.net.exchange import Exchange
 from badgerbend.net.seal import sign, verify
-from badgerbend.net.server import Exchange, HttpServer, ServerLimits
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_limits import ServerLimits
 
 NONCE = b"badgerbend-nonce"  # request header: a new nonce for each request
 MAC = b"badgerbend-mac"  # request and answer header: the signature in hexadecimal
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -15,7 +15,8 @@
 import msgspec
 
 from badgerbend.frames.codec import PartRequest
-from badgerbend.net.server import Exchange, Headers
+from badgerbend.net.exchange import Exchange
+from badgerbend.net.responses import Headers
 from badgerbend.platform import names
 from badgerbend.platform.config import Config
 from badgerbend.runtime.driver import Driver
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -18,7 +18,8 @@
 from badgerbend.discovery.watch import Watch
 from badgerbend.frames.channel import part_request
 from badgerbend.frames.transport import FrameLimits, FrameTransport
-from badgerbend.net.server import HttpServer, ServerLimits
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_limits import ServerLimits
 from badgerbend.platform import names
 from badgerbend.platform.config import Config, ConfigError, load
 from badgerbend.platform.front import Front
--- a/badgerbend/site_service/http.py
+++ b/badgerbend/site_service/http.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
+from badgerbend.net.exchange import Exchange
 from badgerbend.net.seal import has_bearer_key
-from badgerbend.net.server import Exchange
 from badgerbend.sites.preference import LocalityPreference
 from badgerbend.sites.status import sites_status
 
--- a/badgerbend/site_service/service.py
+++ b/badgerbend/site_service/service.py
@@ -12,7 +12,7 @@
 from badgerbend.log import get_logger
 from badgerbend.metrics import Metrics
 from badgerbend.net.client import Pool
-from badgerbend.net.server import Exchange
+from badgerbend.net.exchange import Exchange
 from badgerbend.site_service.http import SitesHandler
 from badgerbend.site_service.operator_key import read_operator_key
 from badgerbend.sites.from_settings import site_policy
--- a/badgerbend/standin/agent.py
+++ b/badgerbend/standin/agent.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
-from badgerbend.net.server import Exchange, HttpServer, ServerLimits
+from badgerbend.net.exchange import Exchange
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_limits import ServerLimits
 
 
 class Agent:
--- a/badgerbend/standin/server.py
+++ b/badgerbend/standin/server.py
@@ -14,7 +14,9 @@
 
 import msgspec
 
-from badgerbend.net.server import Exchange, HttpServer, ServerLimits
+from badgerbend.net.exchange import Exchange
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_limits import ServerLimits
 from badgerbend.standin.subgraph import Subgraph
 from badgerbend.standin.work import Job, Machine, Model
 
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -29,7 +29,8 @@
 from badgerbend.config import settings as cfg
 from badgerbend.config.reading import load as load_settings
 from badgerbend.net.client import Pool, PoolLimits
-from badgerbend.net.server import HttpServer, ServerLimits
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_limits import ServerLimits
 from badgerbend.standin.day import cpu_s
 from badgerbend.standin.registry import Entry, Registry
 from badgerbend.standin.subgraph import Subgraph, rates
--- a/benchmarks/scale/query_bytes.py
+++ b/benchmarks/scale/query_bytes.py
@@ -16,7 +16,9 @@
 from badgerbend.api import Outcome
 from badgerbend.frames import codec
 from badgerbend.frames.channel import Channel
-from badgerbend.net.server import HttpServer, ServerLimits, _Connection
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_connection import ServerConnection
+from badgerbend.net.server_limits import ServerLimits
 from badgerbend.platform import names
 from badgerbend.platform.front import Front
 from badgerbend.runtime.driver import Driver
@@ -148,7 +150,10 @@
         self.shards = range(min(parts, config.shards))
         self.driver = RecordingDriver()
         front = Front(config, cast(Driver, self.driver), lambda: True)
-        self.client, self.connection = RecordingTransport(), _Connection(HttpServer(front.handle, ServerLimits()), loop)
+        self.client, self.connection = (
+            RecordingTransport(),
+            ServerConnection(HttpServer(front.handle, ServerLimits()), loop),
+        )
         self.connection.connection_made(cast(asyncio.Transport, self.client))
         self.owner = ChannelOwner()
         self.transports = [RecordingTransport() for _ in self.shards]
--- a/tests/memory_faults.py
+++ b/tests/memory_faults.py
@@ -29,6 +29,10 @@
 SETTINGS = {"ceilings.maxOpen": 600, "ceilings.streamsPerConn": 32, "specifics.partsACall": 16}
 
 
+def limits(memory_mb, descriptors):
+    return {"memory_mb": memory_mb, "sockets": descriptors}
+
+
 @dataclass(frozen=True, slots=True)
 class Case:
     """form: of the bad clients in tests/memory_clients.py. nodes: how nodes answer. settings: changes to them.
@@ -40,7 +44,7 @@
     clients: int = 150
     nodes: str = "slow"
     agent: str | None = None
-    limits: dict[str, float] = field(default_factory=lambda: {"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS})
+    limits: dict[str, float] = field(default_factory=lambda: limits(MEMORY_MB, DESCRIPTORS))
     settings: dict[str, object] = field(default_factory=dict)
 
 
@@ -177,6 +181,18 @@
         for form in ("pipelined_small", "sequential_large_many_parts", "reads_no_values")
     },
     **{f"agent, {name}": Case(clients=0, agent=name) for name in AGENTS},
+    **{
+        f"{form}, {memory_mb} MB": Case(form, descriptors // 4, nodes, limits=limits(memory_mb, descriptors))
+        for memory_mb, descriptors in ((40, 256), (192, 1024))
+        for form, nodes in (
+            ("pipelined_large", "slow"),
+            ("pipelined_small_headers", "slow"),
+            ("half_body", "slow"),
+            ("sequential_large", "hanging"),
+            ("huge_chunked_body", "slow"),
+            ("pipelined_small", "half_frames"),
+        )
+    },
     "pipelined_small, half frames": Case("pipelined_small", 150, "half_frames"),
     "pipelined_small, endless values": Case("pipelined_small", 150, "endless_values"),
 }
--- a/tests/rough_agent.py
+++ b/tests/rough_agent.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from badgerbend.net.server import REASONS
+from badgerbend.net.responses import REASONS
 from badgerbend.standin.agent import Agent
 from tests.replacing import replace_attribute
 
--- a/tests/test_acceptor.py
+++ b/tests/test_acceptor.py
@@ -8,7 +8,8 @@
 import pytest
 
 from badgerbend.net import acceptor
-from badgerbend.net.server import HttpServer, ServerLimits, bound_socket
+from badgerbend.net.server import HttpServer, bound_socket
+from badgerbend.net.server_limits import ServerLimits
 from tests.platform_stage import run
 from tests.sockets import until
 
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -13,7 +13,9 @@
 from badgerbend.graphql.fetch import FetchTransport
 from badgerbend.graphql.fields import Fetch, RequestContext
 from badgerbend.net.client import CallResult, Reply
-from badgerbend.net.server import HttpServer, ServerLimits, _Connection
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_connection import ServerConnection
+from badgerbend.net.server_limits import ServerLimits
 from badgerbend.runtime.ports import Attempt, PartPlan
 from tests.sockets import BrokerFixture, run
 
@@ -157,7 +159,7 @@
     try:
         seen = []
         server = HttpServer(lambda e: seen.append(e) or e.respond(200, b"", b""), ServerLimits())
-        connection, transport = _Connection(server, loop), Transport()
+        connection, transport = ServerConnection(server, loop), Transport()
         connection.connection_made(transport)
         for piece in data:
             before = len(seen)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -10,8 +10,9 @@
 import pytest
 
 from badgerbend.net import acceptor
-from badgerbend.net import server as http
-from badgerbend.net.server import HttpServer, ServerLimits
+from badgerbend.net import server_connection as http
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_limits import ServerLimits
 from badgerbend.platform import service as services
 from tests.platform_stage import Stage, query, run
 from tests.sockets import until
@@ -297,7 +298,7 @@
     async def main():
         requests, transport = [], ClientTransport()
         server = HttpServer(requests.append, ServerLimits())
-        connection = http._Connection(server, asyncio.get_running_loop())
+        connection = http.ServerConnection(server, asyncio.get_running_loop())
         connection.connection_made(transport)
         connection.data_received(GET % 0 + GET % 1 + GET % 2)
         for number in range(40):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,7 +6,8 @@
 import pytest
 
 from badgerbend.net.client import CallResult, Pool, PoolLimits
-from badgerbend.net.server import HttpServer, ServerLimits
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_limits import ServerLimits
 from tests.replacing import replaced
 from tests.sockets import BrokerFixture, run, until
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -7,7 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from badgerbend.net.server import HttpServer, ServerLimits, _Connection
+from badgerbend.net.server import HttpServer
+from badgerbend.net.server_connection import ServerConnection
+from badgerbend.net.server_limits import ServerLimits
 from badgerbend.net.unparsed_input import TIME_RESOLUTION_S, UnparsedInput
 from tests.platform_stage import run
 from tests.sockets import until
@@ -40,7 +42,7 @@
         self.answers_at_once, self.open, self.sent = answers_at_once, [], 0
         self.transport = ClientTransport()
         server = HttpServer(self.handle, ServerLimits())
-        self.connection = _Connection(server, asyncio.get_running_loop())
+        self.connection = ServerConnection(server, asyncio.get_running_loop())
         self.connection.connection_made(self.transport)
 
     def handle(self, exchange):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -856,7 +856,7 @@
 
     async def main():
         async with Stage() as s:
-            kinds = {"_OpenRequest", "Exchange", "_Query", "QueryState", "PartState", "_Connection", "Channel"}
+            kinds = {"_OpenRequest", "Exchange", "_Query", "QueryState", "PartState", "ServerConnection", "Channel"}
 
             def alive():
                 return Counter(type(o).__name__ for o in gc.get_objects() if type(o).__name__ in kinds)
