A connection reads on while requests wait, so that a client that has left is noticed

What callers saw: a client sends 300 valid requests at once (0.7 MB) and closes; attempts for it begin 0.25 s after the close, where 0.1 s is allowed.

Cause: beyond 16 KB of waiting input, reading was paused and the socket polled for a hang-up. The end of a connection lies behind all its input, and with the receive window closed it does not even reach the kernel.

Change: reading goes on. What waits is bounded by the memory that all connections hold, so it is shed where the most is held; refused input is discarded, at 100 MB/s for each connection at most. With it go the polls, the pause of waiting input, and the time that a request lost for it.

--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -1,7 +1,8 @@
 """One connection of an HTTP/1.1 server: it parses requests, serves them in order and writes the responses.
 
-Requests are served one at a time. The connection keeps reading while a response is pending, so that it learns that the
-peer closes; while reading is paused, it polls the socket for a hang-up.
+Requests are served one at a time. The connection reads on while a response is pending: the end of a connection lies
+behind all that its peer has sent, so a peer that has left would go unnoticed otherwise. What waits meanwhile is bounded
+by the memory that all connections hold; beyond it, input is refused and discarded.
 
 The last response on a connection is followed by a lingering close: the write side is shut down, and further input is
 read and discarded within bounds. Closing a socket with unread bytes would reset the connection, and the reset can
@@ -23,11 +24,10 @@
 from badgerbend.net.socket_events import has_unread_input, peer_has_left
 from badgerbend.net.unparsed_input import UnparsedInput
 
-HANG_UP_POLL_S = 0.05  # between checks for a hang-up of the peer while reading is paused
 MAX_PIPELINED = 8  # requests parsed ahead of the current one; further input stays unparsed
 PARSE_CHUNK_BYTES = 4096  # parsed at a time: a few requests
-MAX_UNPARSED_BYTES = 16_384  # buffered before reading is paused
-FULL_READ_BYTES = 65_536  # a read of fewer bytes leaves none in the kernel
+# While responses are pending, input that is refused is discarded at this rate at most, to leave time for others.
+DISCARD_BYTES, DISCARD_INTERVAL_S = 1_048_576, 0.01
 LINGER_S, LINGER_BYTES = 0.5, 262_144  # bounds of a lingering close: the response needs time to reach the client
 
 
@@ -71,11 +71,11 @@
         self.rejection: tuple[int, bytes] | None = None  # to be sent after the responses to earlier requests
         self.unparsed = UnparsedInput()  # input beyond the requests that are parsed ahead
         self.discarded_bytes = 0  # received after the last request that is served
+        self.discarded_in_interval = 0
         self.lingering = self.paused = False
-        self._unread_since: float | None = None  # since when input may have waited in the kernel, if it may
         self._turn_scheduled = False  # the next request is served in the next iteration of the event loop
         self._in_handler = False  # a response that is written now was made without waiting
-        self._timer: asyncio.TimerHandle | None = None  # of the lingering close, or of polling for a hang-up
+        self._timer: asyncio.TimerHandle | None = None  # of the lingering close, or of a pause while input is discarded
         self.waiting_bytes = 0  # taken by input that is not being served yet
         self.serving_bytes = 0  # taken by the request that is being served, or by its unsent response
 
@@ -110,7 +110,7 @@
         if not self.reading:
             self.reading = True
             self.phase_started_at = self.loop.time() if self.has_received_request else self.phase_started_at
-        received_at = self._received_at(len(data))
+        received_at = self.loop.time() - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
         if self.unparsed or len(data) > PARSE_CHUNK_BYTES:
             self.unparsed.append(data, received_at)
             self._parse_buffered()
@@ -118,20 +118,10 @@
             self._parse(data, received_at)
         self._report_waiting()
 
-    def _received_at(self, size: int) -> float:
-        """When the last byte of a read was received, or earlier: as the kernel says, or since reading was paused."""
-        received_at = self.loop.time() - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
-        if self._unread_since is not None:
-            received_at = min(received_at, self._unread_since)
-            if size < FULL_READ_BYTES:
-                self._unread_since = None
-        return received_at
-
     def _parse_buffered(self) -> None:
         """Parses buffered input until enough requests are parsed ahead."""
         while self.unparsed and len(self.pipelined) < MAX_PIPELINED and self.transport and self.rejection is None:
             self._parse(*self.unparsed.take(PARSE_CHUNK_BYTES))
-        self._set_paused(len(self.unparsed) > MAX_UNPARSED_BYTES)
 
     def _report_waiting(self) -> None:
         """Reports the memory that waiting input takes. It may be shed at once."""
@@ -155,7 +145,6 @@
         for exchange in self.pipelined:
             exchange.shed()
         self._drop_input()
-        self._set_paused(False)
         self.reject(503, b"too much input is held")
 
     def _drop_input(self) -> None:
@@ -164,21 +153,6 @@
         self.parser.abandon()
         self._report_waiting()
 
-    def _set_paused(self, paused: bool) -> None:
-        """Pauses or resumes reading. While it is paused, asyncio does not report that the peer closes."""
-        if paused == self.paused or self.transport is None or self.transport.is_closing():
-            return
-        self.paused = paused
-        if paused:
-            if self._unread_since is None:
-                self._unread_since = self.loop.time()
-            self.transport.pause_reading()
-            self._timer = self.loop.call_later(HANG_UP_POLL_S, self._poll_for_hang_up)
-        else:
-            self.transport.resume_reading()
-            if self._timer is not None:
-                self._timer.cancel()
-
     def abort_if_peer_left(self) -> bool:
         """Aborts the connection if the peer has closed or reset it; returns whether it has."""
         if not peer_has_left(self.transport):
@@ -186,10 +160,6 @@
         self.abort()
         return True
 
-    def _poll_for_hang_up(self) -> None:
-        if not self.abort_if_peer_left():
-            self._timer = self.loop.call_later(HANG_UP_POLL_S, self._poll_for_hang_up)
-
     def has_unread_input(self) -> bool:
         """Whether the socket has input that this iteration of the loop has yet to read."""
         return has_unread_input(self.transport)
@@ -202,19 +172,30 @@
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def _discard(self, count: int) -> None:
+        """Discards input behind the last request that is served."""
         self.discarded_bytes += count
-        if self.discarded_bytes <= LINGER_BYTES:
-            return
         if self.lingering:
-            self.abort()
-        else:  # responses are still pending
-            self._set_paused(True)
+            if self.discarded_bytes > LINGER_BYTES:
+                self.abort()
+            return
+        self.discarded_in_interval += count
+        if self.discarded_in_interval > DISCARD_BYTES and self.transport is not None:
+            self.paused = True
+            self.transport.pause_reading()
+            self._timer = self.loop.call_later(DISCARD_INTERVAL_S, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        if self.paused and self.transport is not None and not self.transport.is_closing():
+            self.paused, self.discarded_in_interval = False, 0
+            self.transport.resume_reading()
 
     def _linger(self) -> None:
         """Starts a lingering close, which ends once the peer closes or a bound is reached."""
         if self.transport is None or self.lingering:
             return
-        self._set_paused(False)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._resume_reading()
         self.lingering, self.phase_started_at, self.discarded_bytes = True, self.loop.time(), 0
         self.server.lingering += 1
         self._drop_input()
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -199,7 +199,7 @@
             sock, connection = await subject.client((GET % 0) + b"noise\r\n\r\n")
             loop = asyncio.get_running_loop()
             sending = loop.create_task(loop.sock_sendall(sock, b"z" * (http.LINGER_BYTES + 300_000)))
-            await until(lambda: connection.paused)
+            await until(lambda: connection.discarded_bytes > http.LINGER_BYTES)
             subject.answer()
             got = await read_to_end(sock)
             assert re.findall(rb"HTTP/1.1 (\d+)", got) == [b"200", b"400"]
@@ -211,23 +211,37 @@
 # -- a client that disconnects while responses are pending
 
 
-@pytest.mark.parametrize("trailing", [GET % 1 * 4000, b"noise\r\n\r\n" + b"z" * 900_000], ids=["requests", "noise"])
-def test_a_disconnect_is_noticed_while_reading_is_paused(trailing):
-    # Without the poll for a hang-up, its requests were served one after the other.
+UNREAD_INPUT = {
+    "requests": GET % 1 * 4000,
+    "noise": b"noise\r\n\r\n" + b"z" * 900_000,
+    "megabytes of requests": GET % 1 * 200_000,
+    "megabytes of noise": b"noise\r\n\r\n" + b"z" * 6_000_000,
+}
+
+
+@pytest.mark.parametrize("max_held_bytes", [64 << 20, 100_000])
+@pytest.mark.parametrize("trailing", UNREAD_INPUT.values(), ids=UNREAD_INPUT)
+def test_a_disconnect_behind_much_input_is_noticed_and_starts_nothing(trailing, max_held_bytes):
+    # The end of the connection lies behind what the peer has sent. While reading was paused, it stayed unnoticed:
+    # attempts began for clients that had left (docs/incidents/2026-12-04-memory.md).
     async def main():
-        async with ServerWithClients() as subject:
+        async with ServerWithClients(max_held_bytes=max_held_bytes, max_connections=10) as subject:
             sock, connection = await subject.client(GET % 0)
             await until(lambda: subject.requests)
-            loop = asyncio.get_running_loop()
-            sending = loop.create_task(loop.sock_sendall(sock, trailing))
-            await until(lambda: connection.paused)
             first = subject.requests[0]
-            sending.cancel()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8 << 20)
+            sent = 0
+            while sent < len(trailing):
+                with contextlib.suppress(BlockingIOError):
+                    sent += sock.send(trailing[sent:])
+                await asyncio.sleep(0)
+            loop = asyncio.get_running_loop()
             sock.close()
             closed_at = loop.time()
             await until(lambda: first.disconnected)
-            assert loop.time() - closed_at < 1.0
+            assert loop.time() - closed_at < 0.1
             assert len(subject.requests) == 1
+            assert subject.server.held.waiting_bytes == subject.server.held.serving_bytes == 0
 
     run(main)
 
