A client is told to continue after the responses to its earlier requests, not before them

What callers saw: a request with Expect: 100-continue behind others got its interim response before theirs, so a client takes it for one to its first request (by reading; RFC 9112, 9.3.2).

Cause: the interim response was written when the head was parsed, whatever waited before it.

Change: it is written when no request is open, with the head or with the last response before it.

Evidence: test_a_client_is_told_to_continue_after_the_responses_to_its_earlier_requests failed before (100, 200, 200) and passes now.

--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -224,8 +224,13 @@
             self.reading = parser.in_request
         if parser.error is not None:
             self.reject(parser.error.status, parser.error.text)
-        elif parser.expects_continue and self.transport and not self.lingering:
-            parser.expects_continue = False
+        else:
+            self._continue_if_expected()
+
+    def _continue_if_expected(self) -> None:
+        """Tells a client that waits for it to send its body; not before the responses to its earlier requests."""
+        if self.parser.expects_continue and self.transport and not (self.lingering or self.has_open_requests()):
+            self.parser.expects_continue = False
             self.transport.write(CONTINUE)
 
     def _request_received(self, request: Request, received_at: float) -> None:
@@ -258,7 +263,9 @@
         if not keep:
             self.pipelined.clear()  # later requests are not served
             self._linger()
-        elif more or self._in_handler:
+            return
+        self._continue_if_expected()
+        if more or self._in_handler:
             self._schedule_turn()
 
     def _schedule_turn(self) -> None:
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -329,6 +329,31 @@
     run(main)
 
 
+def test_a_client_is_told_to_continue_after_the_responses_to_its_earlier_requests():
+    # The interim response came before them, so that the client took it for one to its first request.
+    async def main():
+        async with ServerWithClients() as subject:
+            expecting = b"POST /2 HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n"
+            sock, _ = await subject.client(GET % 0 + GET % 1 + expecting)
+            loop = asyncio.get_running_loop()
+            await until(lambda: subject.requests)
+            subject.answer(b"zero")
+            await until(lambda: subject.requests)
+            subject.answer(b"one")
+            got = b""
+            while b"100 Continue\r\n\r\n" not in got:
+                got += await loop.sock_recv(sock, 65_536)
+            assert re.findall(rb"HTTP/1.1 (\d+)", got) == [b"200", b"200", b"100"]
+            sock.send(b"ab")
+            await until(lambda: subject.requests)
+            assert subject.requests[0].body == b"ab"
+            subject.answer()
+            got = await loop.sock_recv(sock, 65_536)
+            assert re.findall(rb"HTTP/1.1 (\d+)", got) == [b"200"]
+
+    run(main)
+
+
 def test_many_requests_that_are_answered_at_once_do_not_keep_the_event_loop_busy():
     # All requests of a read of 256 KB were answered in one iteration: with many such clients it took seconds.
     async def main():
