A channel resumes its writes outside asyncio's callback, so that its connection ends once

Cause: asyncio calls resume_writing while it handles the socket. A call that was written there and failed closed the transport, which asyncio's caller then closed again.

Change: waiting calls are written in the next iteration of the event loop.

Evidence: test_a_write_that_fails_as_writing_resumes_ends_the_connection_once forces it with a socket that takes nothing, then one write, then fails; it failed before with that traceback and passes now.

--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -167,7 +167,8 @@
 
     def resume_writing(self) -> None:
         self.blocked, self.last_call = False, []
-        self._write_calls()
+        # Not at once: asyncio ends a connection twice if a write fails in this callback.
+        self.loop.call_soon(self._write_calls)
 
     def data_received(self, data: bytes) -> None:
         if self.ended:
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import socket
 
 import pytest
 from hypothesis import given
@@ -155,11 +156,16 @@
 
 
 class FakeLoop:
+    """A loop that runs what it is given at once."""
+
     now = 0.0
 
     def time(self):
         return self.now
 
+    def call_soon(self, callback):
+        callback()
+
 
 def attempt(shard, number=0, query=b"q1", text=b"text"):
     """Returns an attempt decided on now: by the running loop's clock, or at time 0 in a test without one."""
@@ -453,6 +459,43 @@
     run(main)
 
 
+class StubbornSocket(socket.socket):
+    """A socket that takes nothing at first, then one write, and fails with each further one."""
+
+    def __init__(self, fileno):
+        super().__init__(fileno=fileno)
+        self.outcomes = [BlockingIOError, None]
+
+    def send(self, data, *flags):
+        outcome = self.outcomes.pop(0) if self.outcomes else ConnectionResetError
+        if outcome is not None:
+            raise outcome
+        return super().send(data, *flags)
+
+
+def test_a_write_that_fails_as_writing_resumes_ends_the_connection_once():
+    # asyncio called connection_lost twice and logged a traceback: the call was written within its own callback.
+    async def main():
+        loop, errors = asyncio.get_running_loop(), []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        stubborn = StubbornSocket(ours.detach())
+        stubborn.setblocking(False)
+        owner = Owner()
+        channel = Channel(owner, 1, loop)
+        await loop.create_connection(lambda: channel, sock=stubborn)
+        channel.send([attempt(1)])
+        channel.send([attempt(2)])
+        await until(lambda: channel.ended)
+        await asyncio.sleep(0.05)
+        assert errors == []
+        assert [(i, o) for i, o, _ in owner.ends] == [(b"q1.1", Outcome.RESET), (b"q1.2", Outcome.RESET)]
+        theirs.close()
+
+    run(main)
+
+
 def test_attempts_beyond_the_connection_limit_end_as_not_sent():
     async def main():
         node = FrameNode(lambda part: None)
