An exception of the transport within a turn stops neither its other actions nor the next turns

Cause: an exception in an action ended the driver's turn before it set its next timer.

Change: actions and sends are guarded one by one and reported; attempts that were not sent end by their timeouts.

Evidence: test_an_exception_of_the_transport_leaves_no_query_without_its_result failed before (no result at all in 1 s for a query of 0.5 s, simulated) and passes now.

--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -185,13 +185,26 @@
                 actions = []
             self.observer.stepped(len(events), time.perf_counter() - began)
             for action in actions:
-                self._carry_out(action, now)
+                self._carry_out_safely(action, now)
             for node in list(self._calls):
-                self._flush(node)
+                self._flush_safely(node)
         for query_id in expired:
             self._fail_expired(query_id)
         self._schedule_next_turn()
 
+    def _carry_out_safely(self, action: api.Action, now: float) -> None:
+        """Carries out an action. An exception must not stop the other actions, nor the turns that are to come."""
+        try:
+            self._carry_out(action, now)
+        except Exception as err:
+            self.observer.report_fault("action failed", f"{type(action).__name__}: {type(err).__name__}: {err}")
+
+    def _flush_safely(self, node: int) -> None:
+        try:
+            self._flush(node)
+        except Exception as err:  # its attempts end by their timeouts
+            self.observer.report_fault("send failed", f"server {node}: {type(err).__name__}: {err}")
+
     def _carry_out(self, action: api.Action, now: float) -> None:
         match action:
             case api.Send(part, node, timeout_ms, begin_within_ms):
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -1,5 +1,6 @@
 """The driver on a simulated network and clock: each query gets one final result, and each attempt ends once."""
 
+import contextlib
 import gc
 import math
 import random
@@ -168,6 +169,23 @@
     assert kept() is None
 
 
+def test_an_exception_of_the_transport_leaves_no_query_without_its_result():
+    # The turn ended with the exception and set no next timer, so that queries waited for the next event.
+    class FailingTransport(SimulatedNetwork):
+        def send(self, node, attempts):
+            raise RuntimeError("a defect")
+
+    network = FailingTransport(lambda attempt: None)
+    sink = network.ask(time_left_ms=500.0)
+    for _ in range(10):
+        with contextlib.suppress(RuntimeError):
+            network.run(100.0)
+    assert len(sink.results_reported) == 1
+    assert sink.results_reported[0][0] <= sink.submitted_at + 500.0
+    assert "send failed" in [kind for kind, _ in network.faults]
+    assert not network.driver.queries
+
+
 def test_parts_of_one_turn_to_one_server_share_a_call():
     network = SimulatedNetwork(succeed(), parts_per_call=2)
     network.ask(shards=(0, 1, 2, 3))
