What comes behind a complete response takes nothing from it and closes the connection

Change: net/client.py delivers the complete response, counts the rest as unsolicited and closes.

Evidence: two of the three cases of test_what_comes_with_a_complete_response_does_not_take_it_away_and_closes_the_connection failed before and all pass now.

--- a/badgerbend/net/client.py
+++ b/badgerbend/net/client.py
@@ -211,8 +211,11 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.fail()
-            return
+            if self.completed is None:
+                self.fail()
+                return
+            self.pool.unsolicited += 1  # the answer is complete, and what follows it is none
+            self.abort()
         if self.completed is None and self._bytes_without_content > MAX_HEAD_BYTES:
             self.fail()
             return
@@ -263,6 +266,8 @@
         if status < 200:  # an interim response such as 100 Continue
             self._reset_answer()
             return
+        if self.call is None:
+            raise ValueError("response without a request")
         call, self.call = self.call, None
         reply = Reply(CallResult.ANSWER, status, self.headers, bytes(self.body))
         self._reset_answer()
@@ -270,8 +275,7 @@
             self.loop.call_soon(self.release)  # after the parser has consumed the rest of the data
         else:
             self.abort()
-        if call is not None:
-            self.completed = (call, reply)
+        self.completed = (call, reply)
 
     def release(self) -> None:
         """Returns the connection to the pool, unless it is closing or has been reused in the meantime."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -224,6 +224,37 @@
     run(main)
 
 
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    "behind", [ANSWER, b"\0noise\r\n\r\n", ANSWER[:30]], ids=["an answer", "noise", "half an answer"]
+)
+def test_what_comes_with_a_complete_response_does_not_take_it_away_and_closes_the_connection(behind):
+    # A second response put the connection into the idle list twice; noise left the call without its reply.
+    async def main():
+        async def handle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(ANSWER + behind)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        pool, replies = Pool("127.0.0.1", server.sockets[0].getsockname()[1], PoolLimits()), []
+        pool.request(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n", replies.append)
+        await until(lambda: replies)
+        await asyncio.sleep(0.05)
+        assert [(reply.result, reply.body) for reply in replies] == [(CallResult.ANSWER, b"ok")]
+        assert len(pool.idle) <= 1
+        if behind != ANSWER[:30]:
+            assert not pool.idle
+            assert pool.unsolicited == 1
+        pool.close()
+        server.close()
+
+    run(main)
+
+
 def test_persistent_connections_are_reused_and_closed_when_idle_too_long():
     async def main():
         server = HttpServer(lambda e: e.respond(200, b"x", b""), ServerLimits())
