--- a/badgerbend/net/client.py
+++ b/badgerbend/net/client.py
@@ -18,7 +18,7 @@
 from badgerbend.net.request_parser import HEADER_OVERHEAD_BYTES, MAX_HEADERS
 
 MAX_HEAD_BYTES = 65_536  # of a response, or of what else comes without content
-HELD_ANSWERS = 2  # incomplete answers of the largest size that the connections of a pool hold together
+MAX_INCOMPLETE_ANSWERS = 2  # incomplete answers of the largest size that the connections of a pool hold together
 
 
 class CallResult(Enum):
@@ -84,7 +84,7 @@
         self.open: set[_Connection] = set()
         self.opened = 0
         self.unsolicited = 0  # responses received without a request
-        self.held_bytes = 0  # taken by the incomplete answers of all connections
+        self.reserved_bytes = 0  # taken by the incomplete answers of all connections
         self.closed = False
         self._connect_tasks: set[asyncio.Task[None]] = set()
 
@@ -140,9 +140,9 @@
         else:
             connection.start(call)
 
-    def limit_held(self) -> None:
+    def limit_memory(self) -> None:
         """Fails the answers that have come least far, while incomplete ones take too much memory together."""
-        while self.held_bytes > HELD_ANSWERS * self.limits.max_answer_bytes:
+        while self.reserved_bytes > MAX_INCOMPLETE_ANSWERS * self.limits.max_answer_bytes:
             min((connection for connection in self.open if connection.size), key=lambda c: c.size).fail()
 
     def close_idle(self) -> None:
@@ -224,7 +224,7 @@
             (call, reply), self.completed = self.completed, None
             call.finish(reply)
         else:
-            self.pool.limit_held()
+            self.pool.limit_memory()
 
     def fail(self) -> None:
         """Ends the call because of its answer, and closes the connection."""
@@ -237,7 +237,7 @@
     def _reset_answer(self) -> None:
         self.headers, self.body = {}, bytearray()
         self._header_count = self._bytes_without_content = 0
-        self.pool.held_bytes -= self.size
+        self.pool.reserved_bytes -= self.size
         self.size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -245,7 +245,7 @@
         if self._header_count > MAX_HEADERS:
             raise ValueError("response has too many headers")
         self.headers[name.lower()] = value
-        self._hold(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+        self._reserve(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
         self._bytes_without_content = 0
@@ -253,11 +253,11 @@
     def on_body(self, body: bytes) -> None:
         self._bytes_without_content = 0
         self.body += body
-        self._hold(len(body))
+        self._reserve(len(body))
 
-    def _hold(self, size: int) -> None:
+    def _reserve(self, size: int) -> None:
         self.size += size
-        self.pool.held_bytes += size
+        self.pool.reserved_bytes += size
         if self.size > self.pool.limits.max_answer_bytes:
             raise ValueError("response exceeds the size limit")
 
--- a/badgerbend/net/exchange.py
+++ b/badgerbend/net/exchange.py
@@ -20,7 +20,7 @@
     def write_answer(self, exchange: Exchange, status: int, body: bytes, content_type: bytes, extra: Headers) -> None:
         """Writes the response of the active exchange."""
 
-    def hold(self, size: int) -> bool:
+    def reserve(self, size: int) -> bool:
         """Counts further memory that is held for the active request, if it is admitted."""
 
     def abort_if_peer_left(self) -> bool:
@@ -70,9 +70,9 @@
         """Whether the peer has closed the connection, read or not yet; if so, the connection is aborted."""
         return self.disconnected or self._connection.abort_if_peer_left()
 
-    def hold(self, size: int) -> bool:
+    def reserve(self, size: int) -> bool:
         """Counts further memory that is held for this request until its response. Returns False if there is none."""
-        return not self.disconnected and self._connection.active is self and self._connection.hold(size)
+        return not self.disconnected and self._connection.active is self and self._connection.reserve(size)
 
     def respond(self, status: int, body: bytes, content_type: bytes, extra: Headers = ()) -> bool:
         """Writes the response. Returns False, and writes nothing, if the peer has disconnected or was answered."""
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -12,7 +12,7 @@
 
 from badgerbend.net.acceptor import Acceptor, Listener, accept_from
 from badgerbend.net.exchange import Handler
-from badgerbend.net.held_memory import HeldMemory
+from badgerbend.net.memory_budget import MemoryBudget
 from badgerbend.net.server_connection import ServerConnection
 from badgerbend.net.server_limits import ServerLimits
 
@@ -27,7 +27,7 @@
         self.connections: set[ServerConnection] = set()
         self.closing = False
         self.rejected_connections = self.lingering = 0
-        self.held = HeldMemory(limits.max_held_bytes, limits.max_connections)
+        self.memory = MemoryBudget(limits.max_memory_bytes, limits.max_connections)
         self.address = ("", 0)  # set by `start`
         self._listener: Listener | None = None
         self._sweeper: asyncio.TimerHandle | None = None
--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -16,7 +16,7 @@
 from typing import Protocol, cast
 
 from badgerbend.net.exchange import Exchange, Handler
-from badgerbend.net.held_memory import HeldMemory
+from badgerbend.net.memory_budget import MemoryBudget
 from badgerbend.net.receive_delay import receive_delay_s
 from badgerbend.net.request_parser import Request, RequestParser
 from badgerbend.net.responses import CONTINUE, Headers, encode_response
@@ -34,13 +34,13 @@
 class Server(Protocol):
     """What a connection needs from its server.
 
-    held: what all connections hold in memory. closing: the server shuts down. lingering: the number of connections in a
+    memory: bounds what all connections hold. closing: the server shuts down. lingering: the number of connections in a
     lingering close.
     """
 
     handler: Handler
     limits: ServerLimits
-    held: HeldMemory
+    memory: MemoryBudget
     closing: bool
     lingering: int
 
@@ -127,17 +127,17 @@
         """Reports the memory that waiting input takes. It may be shed at once."""
         size = len(self.unparsed) + self.parser.partial_size + sum(exchange.size for exchange in self.pipelined)
         if size != self.waiting_bytes:
-            self.server.held.set_waiting(self, size)
+            self.server.memory.set_waiting(self, size)
 
-    def hold(self, size: int) -> bool:
+    def reserve(self, size: int) -> bool:
         """Counts further memory that is held for the active request, if it is admitted."""
-        if not self.server.held.admits(size, self.serving_bytes):
+        if not self.server.memory.admits(size, self.serving_bytes):
             return False
         self._set_serving(self.serving_bytes + size)
         return True
 
     def _set_serving(self, size: int) -> None:
-        self.server.held.add_serving(size - self.serving_bytes)
+        self.server.memory.add_serving(size - self.serving_bytes)
         self.serving_bytes = size
 
     def shed_waiting(self) -> None:
@@ -305,7 +305,7 @@
         """Calls the handler. An exception fails only its own request, with a status of 500."""
         self._in_handler = True
         try:
-            if exchange.is_shed or not self.server.held.admits(exchange.size):
+            if exchange.is_shed or not self.server.memory.admits(exchange.size):
                 exchange.respond(503, b"too much input is held", b"text/plain")
                 return
             self._set_serving(exchange.size)
--- a/badgerbend/net/server_limits.py
+++ b/badgerbend/net/server_limits.py
@@ -19,4 +19,4 @@
     # further requests on it were received.
     max_keep_alive: int = 10_000
     # Held by all connections together; beyond it, requests are refused where the most is held.
-    max_held_bytes: int = 67_108_864
+    max_memory_bytes: int = 67_108_864
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -175,7 +175,7 @@
         self.value_bytes = 0  # of the values that have been received
 
     def keep_value(self, size: int) -> bool:
-        if self.value_bytes + size > MAX_ANSWER_BYTES or not self.exchange.hold(size):
+        if self.value_bytes + size > MAX_ANSWER_BYTES or not self.exchange.reserve(size):
             return False
         self.value_bytes += size
         return True
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -38,7 +38,9 @@
 # Fraction of the file descriptors for idle client connections. It is well below the third that clients keep open at
 # most, since otherwise waiting clients would find no free connection.
 KEEP_ALIVE_FRACTION = 0.2
-HELD_FRACTION = 0.125  # fraction of the process's memory for requests that clients send, and for unsent answers
+CLIENT_MEMORY_FRACTION = (
+    0.125  # fraction of the process's memory for requests that clients send, and for unsent answers
+)
 GRACE_S = 0.65  # requests are accepted for this long after the signal to end
 # A request that arrives later than 0.7 s after the signal, on a connection that was partly read, has to be answered
 # before the process is killed. The kill may come as early as 0.7 s plus KILL_TIMEOUT_S after the signal, or 0.7 s plus
@@ -108,7 +110,7 @@
                 read_timeout_s=READ_TIMEOUT_S,
                 idle_timeout_s=IDLE_TIMEOUT_S,
                 first_byte_timeout_s=READ_TIMEOUT_S,
-                max_held_bytes=int(config.limits.memory_mb * 2**20 * HELD_FRACTION),
+                max_memory_bytes=int(config.limits.memory_mb * 2**20 * CLIENT_MEMORY_FRACTION),
             ),
         )
         self.ending = False
@@ -252,9 +254,9 @@
                 opened=self.transport.opened,
                 rejected=self.front.rejected,
                 turned_away=self.server.rejected_connections,
-                held_kb=(self.server.held.waiting_bytes + self.server.held.serving_bytes) // 1024,
-                shed=self.server.held.shed,
-                refused_large=self.server.held.refused,
+                reserved_kb=(self.server.memory.waiting_bytes + self.server.memory.serving_bytes) // 1024,
+                shed=self.server.memory.shed,
+                refused_large=self.server.memory.refused,
                 accepts_failed=self.server.accepts_failed,
                 overdue_polls=self.watch.overdue_polls,
                 list_version=self.watch.version,
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -219,13 +219,13 @@
 }
 
 
-@pytest.mark.parametrize("max_held_bytes", [64 << 20, 100_000])
+@pytest.mark.parametrize("max_memory_bytes", [64 << 20, 100_000])
 @pytest.mark.parametrize("trailing", UNREAD_INPUT.values(), ids=UNREAD_INPUT)
-def test_a_disconnect_behind_much_input_is_noticed_and_starts_nothing(trailing, max_held_bytes):
+def test_a_disconnect_behind_much_input_is_noticed_and_starts_nothing(trailing, max_memory_bytes):
     # The end of the connection lies behind what the peer has sent. While reading was paused, it stayed unnoticed:
     # attempts began for clients that had left (docs/incidents/2026-12-04-memory.md).
     async def main():
-        async with ServerWithClients(max_held_bytes=max_held_bytes, max_connections=10) as subject:
+        async with ServerWithClients(max_memory_bytes=max_memory_bytes, max_connections=10) as subject:
             sock, connection = await subject.client(GET % 0)
             await until(lambda: subject.requests)
             first = subject.requests[0]
@@ -241,7 +241,7 @@
             await until(lambda: first.disconnected)
             assert loop.time() - closed_at < 0.1
             assert len(subject.requests) == 1
-            assert subject.server.held.waiting_bytes == subject.server.held.serving_bytes == 0
+            assert subject.server.memory.waiting_bytes == subject.server.memory.serving_bytes == 0
 
     run(main)
 
--- a/tests/test_http_client_memory.py
+++ b/tests/test_http_client_memory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from badgerbend.net.client import HELD_ANSWERS, CallResult, Pool, PoolLimits
+from badgerbend.net.client import MAX_INCOMPLETE_ANSWERS, CallResult, Pool, PoolLimits
 from tests.platform_stage import run
 from tests.sockets import until
 from tests.test_http import start_scripted_server
@@ -47,13 +47,13 @@
         pool = Pool("127.0.0.1", await peer.start(), PoolLimits(max_answer_bytes=MAX_ANSWER))
         results = await ask(pool, 5)  # 150 to 750 KB, 2.25 MB together
         await until(lambda: results)
-        assert 0 < pool.held_bytes <= HELD_ANSWERS * MAX_ANSWER
+        assert 0 < pool.reserved_bytes <= MAX_INCOMPLETE_ANSWERS * MAX_ANSWER
         assert results[0] == (0, CallResult.MALFORMED)
         assert 4 not in [number for number, _ in results]
-        assert pool.held_bytes == sum(connection.size for connection in pool.open)
+        assert pool.reserved_bytes == sum(connection.size for connection in pool.open)
         pool.close()
         await until(lambda: not pool.open)
-        assert pool.held_bytes == 0
+        assert pool.reserved_bytes == 0
         peer.server.close()
 
     run(main)
@@ -69,7 +69,7 @@
         call.abort()
         await until(lambda: not pool.open)
         assert call.connection.body == b""
-        assert pool.held_bytes == 0
+        assert pool.reserved_bytes == 0
         pool.close()
         peer.server.close()
 
@@ -107,7 +107,7 @@
         pool.request(GET, replies.append)
         await until(lambda: replies)
         assert replies[0].body == body
-        assert pool.held_bytes == 0
+        assert pool.reserved_bytes == 0
         pool.close()
         server.close()
 
--- a/tests/test_held_memory.py
+++ b/tests/test_memory_budget.py
@@ -1,4 +1,4 @@
-"""The bound on what all connections of a server hold: it sheds where the most is held, and never below a share."""
+"""The bound on the memory of all connections of a server: it sheds where the most is taken, and never below a quota."""
 
 import asyncio
 import re
@@ -6,26 +6,26 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from badgerbend.net.held_memory import HeldMemory
+from badgerbend.net.memory_budget import MemoryBudget
 from tests.platform_stage import run
 from tests.sockets import until
 from tests.test_crossings_clients import GET, ServerWithClients, read_to_end
 
 MAX_BYTES, CONNECTIONS = 1000, 10
-SHARE = MAX_BYTES // CONNECTIONS
+QUOTA = MAX_BYTES // CONNECTIONS
 
 
 class Holder:
     """A connection that counts how often its input was shed."""
 
-    def __init__(self, held):
-        self.held, self.waiting_bytes, self.shed = held, 0, 0
+    def __init__(self, budget):
+        self.memory, self.waiting_bytes, self.shed = budget, 0, 0
 
     def shed_waiting(self):
-        assert self.waiting_bytes > SHARE
-        assert all(self.waiting_bytes >= other.waiting_bytes for other in self.held._large_holders)
+        assert self.waiting_bytes > QUOTA
+        assert all(self.waiting_bytes >= other.waiting_bytes for other in self.memory._large_holders)
         self.shed += 1
-        self.held.set_waiting(self, 0)
+        self.memory.set_waiting(self, 0)
 
 
 steps = st.lists(st.tuples(st.integers(0, CONNECTIONS - 1), st.integers(0, 400), st.booleans()), max_size=60)
@@ -33,37 +33,37 @@
 
 @given(steps)
 def test_the_bound_is_exceeded_by_at_most_one_share_for_each_connection(drawn):
-    held = HeldMemory(MAX_BYTES, CONNECTIONS)
-    holders = [Holder(held) for _ in range(CONNECTIONS)]
+    budget = MemoryBudget(MAX_BYTES, CONNECTIONS)
+    holders = [Holder(budget) for _ in range(CONNECTIONS)]
     serving = [0] * CONNECTIONS
     for number, size, is_request in drawn:
         if not is_request:
-            held.set_waiting(holders[number], size)
-        elif held.admits(size):
-            held.add_serving(size - serving[number])
+            budget.set_waiting(holders[number], size)
+        elif budget.admits(size):
+            budget.add_serving(size - serving[number])
             serving[number] = size
-        assert held.waiting_bytes == sum(holder.waiting_bytes for holder in holders)
-        assert held.serving_bytes == sum(serving)
-        assert held.waiting_bytes + held.serving_bytes <= MAX_BYTES + CONNECTIONS * SHARE
+        assert budget.waiting_bytes == sum(holder.waiting_bytes for holder in holders)
+        assert budget.serving_bytes == sum(serving)
+        assert budget.waiting_bytes + budget.serving_bytes <= MAX_BYTES + CONNECTIONS * QUOTA
 
 
 def test_the_connection_that_holds_most_is_shed_and_others_keep_their_input():
-    held = HeldMemory(MAX_BYTES, CONNECTIONS)
-    small, large, larger = (Holder(held) for _ in range(3))
-    held.set_waiting(small, SHARE)
-    held.set_waiting(large, 400)
-    held.set_waiting(larger, 600)
+    budget = MemoryBudget(MAX_BYTES, CONNECTIONS)
+    small, large, larger = (Holder(budget) for _ in range(3))
+    budget.set_waiting(small, QUOTA)
+    budget.set_waiting(large, 400)
+    budget.set_waiting(larger, 600)
     assert (small.shed, large.shed, larger.shed) == (0, 0, 1)
-    assert held.waiting_bytes == SHARE + 400
+    assert budget.waiting_bytes == QUOTA + 400
 
 
 def test_a_request_within_a_share_is_admitted_whatever_is_held():
-    held = HeldMemory(MAX_BYTES, CONNECTIONS)
-    held.add_serving(MAX_BYTES)
-    assert held.admits(SHARE)
-    assert not held.admits(SHARE + 1)
-    held.add_serving(-MAX_BYTES)
-    assert held.admits(SHARE + 1)
+    budget = MemoryBudget(MAX_BYTES, CONNECTIONS)
+    budget.add_serving(MAX_BYTES)
+    assert budget.admits(QUOTA)
+    assert not budget.admits(QUOTA + 1)
+    budget.add_serving(-MAX_BYTES)
+    assert budget.admits(QUOTA + 1)
 
 
 def post(number, size):
@@ -76,15 +76,15 @@
 
 def test_a_connection_whose_input_is_shed_gets_its_refusals_in_order():
     async def main():
-        async with ServerWithClients(max_held_bytes=200_000, max_connections=20) as subject:
+        async with ServerWithClients(max_memory_bytes=200_000, max_connections=20) as subject:
             small, _ = await subject.client((GET % 1) + (GET % 2))
             await until(lambda: subject.requests)
             large, connection = await subject.client()
             loop = asyncio.get_running_loop()
             sending = loop.create_task(loop.sock_sendall(large, b"".join(post(n, 60_000) for n in range(5))))
-            await until(lambda: subject.server.held.shed)
+            await until(lambda: subject.server.memory.shed)
             await sending
-            assert subject.server.held.waiting_bytes < 100_000
+            assert subject.server.memory.waiting_bytes < 100_000
             while subject.requests:
                 subject.answer()
                 await asyncio.sleep(0.05)
@@ -97,17 +97,17 @@
             assert statuses(received) == [b"200", b"200"]
             small.close()
             await until(lambda: not subject.server.connections)
-            assert subject.server.held.waiting_bytes == subject.server.held.serving_bytes == 0
+            assert subject.server.memory.waiting_bytes == subject.server.memory.serving_bytes == 0
 
     run(main)
 
 
 def test_an_incomplete_request_that_is_shed_is_refused_at_once():
     async def main():
-        async with ServerWithClients(max_held_bytes=100_000, max_connections=20) as subject:
+        async with ServerWithClients(max_memory_bytes=100_000, max_connections=20) as subject:
             clients = [(await subject.client(post(n, 60_000)[:-10]))[0] for n in range(2)]
-            await until(lambda: subject.server.held.shed)
-            assert subject.server.held.waiting_bytes <= 100_000
+            await until(lambda: subject.server.memory.shed)
+            assert subject.server.memory.waiting_bytes <= 100_000
             done, waiting = await asyncio.wait(
                 [asyncio.create_task(read_to_end(sock)) for sock in clients], return_when=asyncio.FIRST_COMPLETED
             )
@@ -120,7 +120,7 @@
 
 def test_a_large_request_is_refused_while_open_ones_hold_the_memory():
     async def main():
-        async with ServerWithClients(max_held_bytes=100_000, max_connections=20) as subject:
+        async with ServerWithClients(max_memory_bytes=100_000, max_connections=20) as subject:
             await subject.client(post(1, 60_000))
             await until(lambda: len(subject.requests) == 1)
             second, _ = await subject.client(post(2, 60_000))
@@ -129,7 +129,7 @@
             second.send(GET % 3)
             await until(lambda: len(subject.requests) == 2)
             subject.answer()
-            await until(lambda: subject.server.held.serving_bytes < 60_000)
+            await until(lambda: subject.server.memory.serving_bytes < 60_000)
             second.close()
 
     run(main)
@@ -142,14 +142,14 @@
             sock, connection = await subject.client(GET % 1 + GET % 2)
             await until(lambda: subject.requests)
             subject.answer(b"z" * 8_000_000)
-            assert subject.server.held.serving_bytes > 1_000_000
+            assert subject.server.memory.serving_bytes > 1_000_000
             await asyncio.sleep(0.1)
             assert not subject.requests
             loop, size = asyncio.get_running_loop(), 0
             while size < 8_000_000:
                 size += len(await loop.sock_recv(sock, 1 << 20))
             await until(lambda: subject.requests)
-            assert subject.server.held.serving_bytes < 10_000
+            assert subject.server.memory.serving_bytes < 10_000
             subject.answer()
 
     run(main)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -434,13 +434,13 @@
 
     async def main():
         async with Stage(behave=behave, limits={"cores": 1.0, "memory_mb": 32, "sockets": 1024}) as s:
-            held = s.service.server.held
+            memory = s.service.server.memory
             assert (await s.ask((1, 2)))[0] == 200
             status, _ = await s.ask((1, 2, 3), X_Time_Left_Ms="500")
             assert status in (502, 503)
             assert [w for w, v in s.troubles if w == "trouble" and v["kind"] == "value too large"]
-            await until(lambda: held.serving_bytes == 0)
-            held.add_serving(held.max_bytes)
+            await until(lambda: memory.serving_bytes == 0)
+            memory.add_serving(memory.max_bytes)
             status, _ = await s.ask((1, 2), X_Time_Left_Ms="500")  # values beyond a connection's share
             assert status in (502, 503)
 
