Refused input is reported on a line of its own; the keys of the summary stay as they were

Change: a trouble "input refused" with the counts, when they have grown; the test uses replace_attribute.

--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -115,6 +115,7 @@
         )
         self.ending = False
         self._summary_at = 0.0
+        self._refused_reported = (0, 0)  # connections whose input was shed, and large requests that were refused
         self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self) -> int:
@@ -241,11 +242,25 @@
         confirmed_at = self.watch.confirmed_at
         return None if confirmed_at is None else round((now - confirmed_at) * 1000.0, 1)
 
+    def _report_refused_input(self) -> None:
+        """Reports what client connections were refused for lack of memory since the last report."""
+        memory = self.server.memory
+        refused = (memory.shed, memory.refused)
+        if refused != self._refused_reported:
+            self._refused_reported = refused
+            reserved_kb = (memory.waiting_bytes + memory.serving_bytes) // 1024
+            self.observer.report_fault(
+                "input refused",
+                f"since the start: input of {memory.shed} connections, {memory.refused} large requests; "
+                f"{reserved_kb} KB are reserved",
+            )
+
     def _sweep(self) -> None:
         now = self.loop.time()
         self.transport.sweep(now)
         if now - self._summary_at >= SUMMARY_INTERVAL_S:
             self._summary_at = now
+            self._report_refused_input()
             self.observer.summary(
                 open=len(self.front.open),
                 parts=self.driver.open_parts,
@@ -254,9 +269,6 @@
                 opened=self.transport.opened,
                 rejected=self.front.rejected,
                 turned_away=self.server.rejected_connections,
-                reserved_kb=(self.server.memory.waiting_bytes + self.server.memory.serving_bytes) // 1024,
-                shed=self.server.memory.shed,
-                refused_large=self.server.memory.refused,
                 accepts_failed=self.server.accepts_failed,
                 overdue_polls=self.watch.overdue_polls,
                 list_version=self.watch.version,
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -15,6 +15,7 @@
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.platform import service as services
 from tests.platform_stage import Stage, query, run
+from tests.replacing import replace_attribute
 from tests.sockets import until
 
 GET = b"GET /%d HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -364,7 +365,7 @@
                 served.append(exchange)
                 exchange.respond(404, b"no", b"text/plain")
 
-            subject.server.handler = handle
+            replace_attribute(subject.server, "handler", handle)
             clients = [(await subject.client())[0] for _ in range(3)]
             loop = asyncio.get_running_loop()
             sending = [loop.create_task(loop.sock_sendall(sock, GET % 1 * 3000)) for sock in clients]
