--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -210,11 +210,10 @@
                 self.in_flight[part_request(attempt).id] = attempt
             if attempts:
                 data = encode_call(self.owner.names, [(part_request(a), a.time_left_ms(now_ms)) for a in attempts])
-                self.last_call, self.last_call_bytes, self.bytes_since_call = attempts, len(data), 0
+                self.last_call_bytes, self.bytes_since_call = len(data), 0
                 self.last_used = self.loop.time()
                 self._write(data)
-                if not self.blocked:
-                    self.last_call = []
+                self.last_call = attempts if self.blocked else []
             for attempt in queued:
                 if attempt not in attempts:
                     self.owner.ended(attempt, Outcome.NOT_SENT, None)
--- a/badgerbend/frames/transport.py
+++ b/badgerbend/frames/transport.py
@@ -234,10 +234,10 @@
 def _split(attempts: Sequence[Attempt]) -> list[list[Attempt]]:
     """Splits attempts into calls of at most `MAX_CALL_BYTES` of text; a call has at least one attempt."""
     calls: list[list[Attempt]] = []
-    size = MAX_CALL_BYTES + 1  # so that the first attempt begins a call
+    size = 0
     for attempt in attempts:
         text_size = len(part_request(attempt).text)
-        if size + text_size > MAX_CALL_BYTES:
+        if not calls or size + text_size > MAX_CALL_BYTES:
             calls.append([])
             size = 0
         calls[-1].append(attempt)
--- a/badgerbend/net/client.py
+++ b/badgerbend/net/client.py
@@ -207,24 +207,28 @@
             self.abort()
             return
         self.call.received += len(data)
+        is_valid = self._parse(data)
+        if self.completed is None:
+            if is_valid and self._bytes_without_content <= MAX_HEAD_BYTES:
+                self.pool.limit_memory()
+            else:
+                self.fail()
+            return
+        if not is_valid:  # the answer is complete, and what follows it is none
+            self.pool.unsolicited += 1
+            self.abort()
+        # The callback is called here and not by the parser, which would report its exceptions as a malformed response.
+        (call, reply), self.completed = self.completed, None
+        call.finish(reply)
+
+    def _parse(self, data: bytes) -> bool:
+        """Parses input; returns whether all of it is valid."""
         self._bytes_without_content += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self.completed is None:
-                self.fail()
-                return
-            self.pool.unsolicited += 1  # the answer is complete, and what follows it is none
-            self.abort()
-        if self.completed is None and self._bytes_without_content > MAX_HEAD_BYTES:
-            self.fail()
-            return
-        # The callback is called here and not by the parser, which would report its exceptions as a malformed response.
-        if self.completed is not None:
-            (call, reply), self.completed = self.completed, None
-            call.finish(reply)
-        else:
-            self.pool.limit_memory()
+            return False
+        return True
 
     def fail(self) -> None:
         """Ends the call because of its answer, and closes the connection."""
--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -18,7 +18,7 @@
 from badgerbend.net.exchange import Exchange, Handler
 from badgerbend.net.memory_budget import MemoryBudget
 from badgerbend.net.receive_delay import receive_delay_s
-from badgerbend.net.request_parser import Request, RequestParser
+from badgerbend.net.request_parser import Rejection, Request, RequestParser
 from badgerbend.net.responses import CONTINUE, Headers, encode_response
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.net.socket_events import has_unread_input, peer_has_left
@@ -28,6 +28,7 @@
 PARSE_CHUNK_BYTES = 4096  # parsed at a time: a few requests
 # While responses are pending, input that is refused is discarded at this rate at most, to leave time for others.
 DISCARD_BYTES, DISCARD_INTERVAL_S = 1_048_576, 0.01
+OUT_OF_MEMORY = Rejection(503, b"too much input is held")
 LINGER_S, LINGER_BYTES = 0.5, 262_144  # bounds of a lingering close: the response needs time to reach the client
 
 
@@ -68,7 +69,7 @@
         self.has_received_request = False  # a complete request was received
         self.reading = False
         self.write_blocked_since: float | None = None
-        self.rejection: tuple[int, bytes] | None = None  # to be sent after the responses to earlier requests
+        self.rejection: Rejection | None = None  # to be sent after the responses to earlier requests
         self.unparsed = UnparsedInput()  # input beyond the requests that are parsed ahead
         self.discarded_bytes = 0  # received after the last request that is served
         self.discarded_in_interval = 0
@@ -145,7 +146,7 @@
         for exchange in self.pipelined:
             exchange.shed()
         self._drop_input()
-        self.reject(503, b"too much input is held")
+        self.reject(OUT_OF_MEMORY)
 
     def _drop_input(self) -> None:
         """Discards input that is not a complete request."""
@@ -223,7 +224,7 @@
         if requests:
             self.reading = parser.in_request
         if parser.error is not None:
-            self.reject(parser.error.status, parser.error.text)
+            self.reject(parser.error)
         else:
             self._continue_if_expected()
 
@@ -284,7 +285,7 @@
                 self._parse_buffered()
             self._begin_next()
         elif self.rejection is not None:
-            self.reject(*self.rejection)
+            self.reject(self.rejection)
         elif self.unparsed:
             self._parse_buffered()
         self._report_waiting()
@@ -306,7 +307,7 @@
         self._in_handler = True
         try:
             if exchange.is_shed or not self.server.memory.admits(exchange.size):
-                exchange.respond(503, b"too much input is held", b"text/plain")
+                exchange.respond(OUT_OF_MEMORY.status, OUT_OF_MEMORY.text, b"text/plain")
                 return
             self._set_serving(exchange.size)
             self.server.handler(exchange)
@@ -316,16 +317,16 @@
         finally:
             self._in_handler = False
 
-    def reject(self, status: int, text: bytes) -> None:
+    def reject(self, rejection: Rejection) -> None:
         """Rejects invalid input once and closes the connection, after the responses to earlier requests."""
         if self.lingering or self.transport is None or self.transport.is_closing():
             return
         if self.rejection is None:
-            self.rejection = (status, text)
+            self.rejection = rejection
             self._drop_input()
         if self.has_open_requests():
             return
-        self.transport.write(encode_response(status, text, b"text/plain"))
+        self.transport.write(encode_response(rejection.status, rejection.text, b"text/plain"))
         self._linger()
 
     def close_if_idle(self) -> None:
@@ -345,7 +346,7 @@
         elif self.lingering:
             pass  # the lingering close has its own bounds
         elif self.reading and not self.has_open_requests() and now - self.phase_started_at > limits.read_timeout_s:
-            self.reject(408, b"the request took too long to arrive")
+            self.reject(Rejection(408, b"the request took too long to arrive"))
         elif now - self.phase_started_at > (
             limits.idle_timeout_s if self.has_received_request else limits.first_byte_timeout_s
         ):
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -26,7 +26,7 @@
 ID = re.compile(rb"[0-9A-Za-z_\-]{1,128}").fullmatch  # stands in a frame's line: no space, comma or line break
 TOKEN = re.compile(r"[0-9A-Fa-f]{16}").fullmatch
 MAX_TIME_LEFT_DIGITS = 9  # in milliseconds: eleven days
-MAX_ANSWER_BYTES = 65_536  # of the values of one answer, whose body may hold no more
+MAX_BODY_BYTES = 65_536  # of a request, of an answer and therefore of its values
 WEIGHT_TOLERANCE = 1e-3  # clients send rounded weights
 _encode = msgspec.json.encode
 
@@ -175,7 +175,7 @@
         self.value_bytes = 0  # of the values that have been received
 
     def keep_value(self, size: int) -> bool:
-        if self.value_bytes + size > MAX_ANSWER_BYTES or not self.exchange.reserve(size):
+        if self.value_bytes + size > MAX_BODY_BYTES or not self.exchange.reserve(size):
             return False
         self.value_bytes += size
         return True
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -22,13 +22,12 @@
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.platform import names
 from badgerbend.platform.config import Config, ConfigError, load
-from badgerbend.platform.front import Front
+from badgerbend.platform.front import MAX_BODY_BYTES, Front
 from badgerbend.platform.log_observer import LogObserver
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.loop import LoopSchedule
 from badgerbend.runtime.ports import Attempt
 
-MAX_BODY = 65_536  # bytes of a request, of an answer and therefore of a value
 READ_TIMEOUT_S = 2.0  # a request that has not arrived completely by then is rejected
 IDLE_TIMEOUT_S = 5.0  # for a connection between requests; opening another one costs a client little
 SWEEP_INTERVAL_S = 0.25
@@ -38,9 +37,8 @@
 # Fraction of the file descriptors for idle client connections. It is well below the third that clients keep open at
 # most, since otherwise waiting clients would find no free connection.
 KEEP_ALIVE_FRACTION = 0.2
-CLIENT_MEMORY_FRACTION = (
-    0.125  # fraction of the process's memory for requests that clients send, and for unsent answers
-)
+# Fraction of the process's memory for requests that clients send, and for unsent answers.
+CLIENT_MEMORY_FRACTION = 0.125
 GRACE_S = 0.65  # requests are accepted for this long after the signal to end
 # A request that arrives later than 0.7 s after the signal, on a connection that was partly read, has to be answered
 # before the process is killed. The kill may come as early as 0.7 s plus KILL_TIMEOUT_S after the signal, or 0.7 s plus
@@ -77,7 +75,7 @@
                 connect_s,
                 settings.connection_idle_ms / 1000.0,
                 connect_s,
-                MAX_BODY,
+                MAX_BODY_BYTES,
             ),
             lambda node: self.directory.addresses.get(node),
             self._attempt_completed,
@@ -106,7 +104,7 @@
             ServerLimits(
                 max_connections=int(descriptors * CLIENT_FRACTION),
                 max_keep_alive=int(descriptors * KEEP_ALIVE_FRACTION),
-                max_body_bytes=MAX_BODY,
+                max_body_bytes=MAX_BODY_BYTES,
                 read_timeout_s=READ_TIMEOUT_S,
                 idle_timeout_s=IDLE_TIMEOUT_S,
                 first_byte_timeout_s=READ_TIMEOUT_S,
--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -185,25 +185,19 @@
                 actions = []
             self.observer.stepped(len(events), time.perf_counter() - began)
             for action in actions:
-                self._carry_out_safely(action, now)
+                self._run_safely("action failed", f"{type(action).__name__}: ", self._carry_out, action, now)
             for node in list(self._calls):
-                self._flush_safely(node)
+                self._run_safely("send failed", f"server {node}: ", self._flush, node)
         for query_id in expired:
             self._fail_expired(query_id)
         self._schedule_next_turn()
 
-    def _carry_out_safely(self, action: api.Action, now: float) -> None:
-        """Carries out an action. An exception must not stop the other actions, nor the turns that are to come."""
+    def _run_safely(self, fault: str, subject: str, callback: Callable[..., None], *arguments: object) -> None:
+        """Calls a function. An exception in it is reported, and stops neither other actions nor the next turns."""
         try:
-            self._carry_out(action, now)
+            callback(*arguments)
         except Exception as err:
-            self.observer.report_fault("action failed", f"{type(action).__name__}: {type(err).__name__}: {err}")
-
-    def _flush_safely(self, node: int) -> None:
-        try:
-            self._flush(node)
-        except Exception as err:  # its attempts end by their timeouts
-            self.observer.report_fault("send failed", f"server {node}: {type(err).__name__}: {err}")
+            self.observer.report_fault(fault, f"{subject}{type(err).__name__}: {err}")
 
     def _carry_out(self, action: api.Action, now: float) -> None:
         match action:
@@ -311,11 +305,7 @@
             return ()
 
     def _notify_sink(self, callback: Callable[..., None], *subject: object) -> None:
-        """Calls a sink; an exception in it must not stop the other actions of the step."""
-        try:
-            callback(*subject)
-        except Exception as err:
-            self.observer.report_fault("a sink broke", f"{type(err).__name__}: {err}")
+        self._run_safely("a sink broke", "", callback, *subject)
 
     def _with_current_time_left(self, event: api.Event, now: float) -> api.Event:
         """Returns the event, with the time that is left now if it is a query.
--- a/benchmarks/scale/query_bytes.py
+++ b/benchmarks/scale/query_bytes.py
@@ -150,10 +150,8 @@
         self.shards = range(min(parts, config.shards))
         self.driver = RecordingDriver()
         front = Front(config, cast(Driver, self.driver), lambda: True)
-        self.client, self.connection = (
-            RecordingTransport(),
-            ServerConnection(HttpServer(front.handle, ServerLimits()), loop),
-        )
+        self.client = RecordingTransport()
+        self.connection = ServerConnection(HttpServer(front.handle, ServerLimits()), loop)
         self.connection.connection_made(cast(asyncio.Transport, self.client))
         self.owner = ChannelOwner()
         self.transports = [RecordingTransport() for _ in self.shards]
--- a/tests/memory_clients.py
+++ b/tests/memory_clients.py
@@ -8,13 +8,13 @@
 import contextlib
 import itertools
 import os
+import socket
 import struct
 import sys
 
-from tests.platform_stage import SETTINGS, SHARDS, query
+from tests.broker_process import ACCOUNT, HOST, read_answer
+from tests.platform_stage import SHARDS, query
 
-HOST = "127.0.0.1"
-ACCOUNT = SETTINGS["tenants"][0]["name"]
 BODY_BYTES = 60_000  # a body may hold 65,536 bytes
 HEAD_BYTES = 15_000  # a head may hold 16,384 bytes
 AT_ONCE = 100  # requests that are sent without waiting for an answer
@@ -27,30 +27,34 @@
     return f"{os.getpid()}-{next(_numbers)}"
 
 
-def head(framing, extra=b"", service_class=b"quote", left_ms=3000):
+def head(framing, extra=b""):
     return (
-        b"POST /%s/abc HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Account: %s\r\n"
-        b"X-Time-Left-Ms: %d\r\nIdempotency-Key: k\r\n%s%s\r\n\r\n"
-    ) % (service_class, new_id().encode(), service_class, ACCOUNT.encode(), left_ms, extra, framing)
+        b"POST /quote/abc HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Service-Class: quote\r\nX-Account: %s\r\n"
+        b"X-Time-Left-Ms: 3000\r\nIdempotency-Key: k\r\n%s%s\r\n\r\n"
+    ) % (new_id().encode(), ACCOUNT.encode(), extra, framing)
 
 
 def with_length(body, **also):
     return head(b"Content-Length: %d" % len(body), **also) + body
 
 
-def chunked(body, size):
+def chunks_of(body, size):
+    """The chunks of a body, without the last one."""
     chunks = [body[at : at + size] for at in range(0, len(body), size)]
-    data = b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks)
-    return head(b"Transfer-Encoding: chunked") + data + b"0\r\n\r\n"
+    return b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks)
+
+
+def chunked(body, size):
+    return head(b"Transfer-Encoding: chunked") + chunks_of(body, size) + b"0\r\n\r\n"
 
 
 def large_body(parts=(1, 2)):
     return query(list(parts), "c41e77d0" * (BODY_BYTES // 8))
 
 
-def small_headers(size):
-    """Many headers with short names, all different."""
-    return b"".join(b"%x:\r\n" % number for number in range(0x100, 0x100 + size // 6))
+def small_headers(count):
+    """Headers with short names, all different."""
+    return b"".join(b"%x:\r\n" % number for number in range(0x100, 0x100 + count))
 
 
 class Client:
@@ -67,11 +71,6 @@
         while await self.reader.read(65_536):
             pass
 
-    async def read_answer(self):
-        answer = await self.reader.readuntil(b"\r\n\r\n")
-        line = next(line for line in answer.lower().split(b"\r\n") if line.startswith(b"content-length"))
-        await self.reader.readexactly(int(line.split(b":")[1]))
-
     async def send_many(self, make):
         """Sends many requests at once, and reads what comes meanwhile."""
         reading = asyncio.ensure_future(self.read_to_end())
@@ -100,7 +99,7 @@
 
 
 async def pipelined_small_headers(client):
-    body, extra = query([1, 2]), small_headers(HEAD_BYTES)
+    body, extra = query([1, 2]), small_headers(HEAD_BYTES // 6)
     await client.send_many(lambda: with_length(body, extra=extra))
 
 
@@ -126,7 +125,7 @@
 
 
 async def half_small_headers(client):
-    await client.send(head(b"A: b", small_headers(HEAD_BYTES))[:-4])
+    await client.send(head(b"A: b", small_headers(HEAD_BYTES // 6))[:-4])
     await client.read_to_end()
 
 
@@ -167,21 +166,21 @@
     body = large_body()
     while True:
         await client.send(with_length(body))
-        await client.read_answer()
+        await read_answer(client.reader)
 
 
 async def sequential_large_many_parts(client):
     body = large_body(range(SHARDS))
     while True:
         await client.send(with_length(body))
-        await client.read_answer()
+        await read_answer(client.reader)
 
 
 async def large_and_gone(client):
     """Sends a large request and resets the connection at once."""
     await client.send(with_length(large_body()))
     await asyncio.sleep(0.05)
-    client.writer.transport.get_extra_info("socket").setsockopt(1, 13, RESET)
+    client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     client.writer.transport.abort()
 
 
--- a/tests/memory_faults.py
+++ b/tests/memory_faults.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import signal
 import subprocess
@@ -16,7 +17,7 @@
 
 from badgerbend.standin.framenode import LENGTH, Part
 from tests.broker_process import ROOT, BrokerProcess, read_answer, request
-from tests.memory_clients import FORMS
+from tests.memory_clients import FORMS, chunks_of, small_headers
 from tests.platform_stage import SHARDS
 
 MEMORY_MB, DESCRIPTORS = 88, 576
@@ -35,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Case:
-    """form: of the bad clients in tests/memory_clients.py. nodes: how nodes answer. settings: changes to them.
+    """form: of the bad clients in tests/memory_clients.py. nodes: how nodes answer.
 
     agent: how the discovery agent answers that a new configuration names.
     """
@@ -45,7 +46,6 @@
     nodes: str = "slow"
     agent: str | None = None
     limits: dict[str, float] = field(default_factory=lambda: limits(MEMORY_MB, DESCRIPTORS))
-    settings: dict[str, object] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -122,14 +122,10 @@
 LIST_START = b'{"rev":9,"all":true,"targets":['
 
 
-def in_tiny_chunks(data):
-    return b"".join(b"2\r\n%s\r\n" % data[at : at + 2] for at in range(0, len(data) - 1, 2))
-
-
 AGENTS = {  # what is sent in answer to each poll; the rest never comes
     "large": AGENT_HEAD + b"Content-Length: %d\r\n\r\n" % ANSWER_BYTES + (LIST_START + b" " * ANSWER_BYTES)[:-99],
-    "tiny chunks": AGENT_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + in_tiny_chunks(LIST_START + b" " * 1_000_000),
-    "small headers": AGENT_HEAD + b"".join(b"%x:\r\n" % number for number in range(0x10000, 0x10000 + 400_000)),
+    "tiny chunks": AGENT_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks_of(LIST_START + b" " * 1_000_000, 2),
+    "small headers": AGENT_HEAD + small_headers(400_000),
     "a long header": AGENT_HEAD + b"X-Long: " + b"y" * 3_000_000,
 }
 
@@ -203,13 +199,13 @@
 
     def __init__(self, case, seconds=4.0):
         self.case, self.seconds = case, seconds
-        self.numbers = iter(range(1_000_000))
+        self.numbers = itertools.count()
         self.statuses, self.lost = Counter(), []
         self.ends_at = float("inf")
 
     async def run(self):
         case = self.case
-        changes = {"limits": {"cores": 1.0, **case.limits}, "settings": SETTINGS | case.settings}
+        changes = {"limits": {"cores": 1.0, **case.limits}, "settings": SETTINGS}
         async with BrokerProcess(each=2, behave=NODES[case.nodes], **changes) as broker:
             pid = broker.process.pid
             usual = [asyncio.create_task(self._usual_client(broker)) for _ in range(USUAL_CLIENTS)]
@@ -274,7 +270,7 @@
 
     async def _ask(self, broker, connection, asked):
         """Returns the connection if it stays open, CLOSED_UNREAD if it ended without an answer, else None."""
-        async with asyncio.timeout_at(asyncio.get_running_loop().time() + self._time_left_s(asked)):
+        async with asyncio.timeout(asked.sent_at + USUAL_DEADLINE_MS / 1000.0 + LATE_ANSWER_S - time.monotonic()):
             try:
                 reader, writer = connection or await broker.connect()
                 writer.write(asked.data)
@@ -287,10 +283,6 @@
             return None
         return reader, writer
 
-    @staticmethod
-    def _time_left_s(asked):
-        return asked.sent_at + USUAL_DEADLINE_MS / 1000.0 + LATE_ANSWER_S - time.monotonic()
-
 
 async def play(case, seconds=4.0):
     return await Play(case, seconds).run()
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -17,6 +17,7 @@
 from badgerbend.net.server_connection import ServerConnection
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.runtime.ports import Attempt, PartPlan
+from tests.client_transport import ClientTransport
 from tests.sockets import BrokerFixture, run
 
 CONTEXT = RequestContext("0" * 32, None, False)
@@ -96,39 +97,6 @@
         assert ended_attempts[0][1] == outcome
 
 
-class Transport:
-    """A transport that records what is written and fails if anything is written after the end."""
-
-    def __init__(self):
-        self.out, self.closed, self.ended = b"", False, False
-
-    def write(self, data):
-        assert not self.ended
-        self.out += data
-
-    def write_eof(self):
-        self.ended = True
-
-    def is_closing(self):
-        return self.closed
-
-    def close(self):
-        self.closed = True
-
-    abort = close
-
-    def pause_reading(self): ...
-
-    def resume_reading(self): ...
-
-    def get_extra_info(self, name): ...
-
-    def set_write_buffer_limits(self, high): ...
-
-    def get_write_buffer_size(self):
-        return 0
-
-
 http_fragments = st.sampled_from(
     [
         b"GET / HTTP/1.1\r\n",
@@ -159,7 +127,7 @@
     try:
         seen = []
         server = HttpServer(lambda e: seen.append(e) or e.respond(200, b"", b""), ServerLimits())
-        connection, transport = ServerConnection(server, loop), Transport()
+        connection, transport = ServerConnection(server, loop), ClientTransport()
         connection.connection_made(transport)
         for piece in data:
             before = len(seen)
@@ -167,10 +135,10 @@
             if not transport.closed:
                 connection.data_received(piece)
             assert not over or len(seen) == before  # input after the end is discarded
-        answers = transport.out.count(b"HTTP/1.1 200")
+        answers = transport.written.count(b"HTTP/1.1 200")
         assert answers <= len(seen)
-        assert transport.out.count(b"HTTP/1.1 4") <= 1
-        if transport.out.count(b"HTTP/1.1 4"):
+        assert transport.written.count(b"HTTP/1.1 4") <= 1
+        if transport.written.count(b"HTTP/1.1 4"):
             assert transport.closed or transport.ended
     finally:
         loop.close()
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -14,6 +14,7 @@
 from badgerbend.net.server import HttpServer
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.platform import service as services
+from tests.client_transport import ClientTransport
 from tests.platform_stage import Stage, query, run
 from tests.replacing import replace_attribute
 from tests.sockets import until
@@ -280,34 +281,6 @@
     run(main)
 
 
-class ClientTransport:
-    """A transport that records what is written."""
-
-    def __init__(self):
-        self.written = b""
-
-    def write(self, data):
-        self.written += data
-
-    def write_eof(self): ...
-
-    def abort(self): ...
-
-    def is_closing(self):
-        return False
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def set_write_buffer_limits(self, high): ...
-
-    def pause_reading(self): ...
-
-    def resume_reading(self): ...
-
-    def get_extra_info(self, name): ...
-
-
 def test_a_request_read_right_after_a_response_is_served_after_those_that_wait():
     # It was served at once, before the waiting ones were: clients got each other's answers (review/1).
     async def main():
--- a/tests/test_http_client_memory.py
+++ b/tests/test_http_client_memory.py
@@ -5,6 +5,7 @@
 import pytest
 
 from badgerbend.net.client import MAX_INCOMPLETE_ANSWERS, CallResult, Pool, PoolLimits
+from tests.memory_clients import chunks_of, small_headers
 from tests.platform_stage import run
 from tests.sockets import until
 from tests.test_http import start_scripted_server
@@ -79,7 +80,7 @@
 @pytest.mark.parametrize(
     "answer",
     [
-        HEAD + b"".join(b"%x:\r\n" % number for number in range(0x1000, 0x1200)) + b"content-length: 0\r\n\r\n",
+        HEAD + small_headers(512) + b"content-length: 0\r\n\r\n",
         HEAD + b"x: " + b"y" * 900_000,
         HEAD + b"transfer-encoding: chunked\r\n\r\n0\r\nx: " + b"y" * 900_000,
     ],
@@ -101,8 +102,9 @@
 def test_an_answer_in_tiny_chunks_takes_what_it_holds():
     async def main():
         body = b"z" * 100_000
-        chunks = b"".join(b"2\r\n%s\r\n" % body[at : at + 2] for at in range(0, len(body), 2))
-        server = await start_scripted_server(HEAD + b"transfer-encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n")
+        server = await start_scripted_server(
+            HEAD + b"transfer-encoding: chunked\r\n\r\n" + chunks_of(body, 2) + b"0\r\n\r\n"
+        )
         pool, replies = Pool("127.0.0.1", server.sockets[0].getsockname()[1], PoolLimits()), []
         pool.request(GET, replies.append)
         await until(lambda: replies)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -11,9 +11,10 @@
 from badgerbend.net.server_connection import ServerConnection
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.net.unparsed_input import TIME_RESOLUTION_S, UnparsedInput
+from tests.client_transport import ClientTransport
 from tests.platform_stage import run
 from tests.sockets import until
-from tests.test_crossings_clients import GET, ClientTransport, ServerWithClients, read_to_end
+from tests.test_crossings_clients import GET, ServerWithClients, read_to_end
 
 REQUESTS = 60
 POST = b"POST /%d HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from badgerbend.net.request_parser import MAX_HEADERS, RequestParser
+from tests.memory_clients import chunks_of, small_headers
 
 MAX_HEAD, MAX_BODY = 16_384, 65_536
 CHUNKED = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -27,10 +28,6 @@
     return [data[at : at + size] for at in range(0, len(data), size)]
 
 
-def small_headers(count):
-    return b"".join(b"%x:\r\n" % number for number in range(0x100, 0x100 + count))
-
-
 @given(st.lists(st.integers(1, 40), max_size=40))
 def test_requests_do_not_depend_on_how_bytes_are_split(sizes):
     stream = CHUNKED + b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nx-trailer: z\r\n\r\nGET /2 HTTP/1.1\r\nA: 1\r\na: 2\r\n\r\n"
@@ -72,7 +69,7 @@
 BODY = b"v" * 60_000
 INCOMPLETE = {
     # Each chunk was kept as an object of its own, so that 60 KB took 1.7 MB.
-    "a body in chunks of two bytes": CHUNKED + b"".join(b"2\r\nvv\r\n" for _ in range(len(BODY) // 2)),
+    "a body in chunks of two bytes": CHUNKED + chunks_of(BODY, 2),
     "a body with a length": b"POST / HTTP/1.1\r\ncontent-length: 65000\r\n\r\n" + BODY,
     "headers": b"GET / HTTP/1.1\r\n" + small_headers(MAX_HEADERS),
     "a long header": b"GET / HTTP/1.1\r\na: " + b"y" * 15_000,
