A request that waits behind others on its connection is refused inside its time

What callers saw: a request behind one with a later deadline waited for that one's answer and came late; responses on a connection keep the order of the requests. On the GraphQL front the time of a request counted from when it was begun, so that servers were told a time that the client no longer had.

Change: the servers state when the client of a waiting request stops waiting (Front.answer_by, GraphQLFront.answer_by). 5 ms before, the request and those before it are refused in their places (503); the one that is being served is ended: 503 if its class is safe or it is a GraphQL query, otherwise 502, as its parts may have run. GraphQL subtracts the wait of a request from its time.

Limit: 64 requests are parsed ahead on a connection; an earlier deadline behind more than that becomes known as the queue gets shorter.

--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -30,6 +30,7 @@
 from badgerbend.metrics import Metrics
 from badgerbend.net.client import PoolLimits
 from badgerbend.net.exchange import Exchange
+from badgerbend.net.request_parser import Request
 from badgerbend.net.server import HttpServer
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.peering.service import KnowledgeExchange
@@ -131,6 +132,7 @@
                 listen.read_timeout_ms / 1000.0,
                 listen.idle_timeout_ms / 1000.0,
             ),
+            self._answer_by,
         )
         self.port = 0
         self._sweeper: asyncio.TimerHandle | None = None
@@ -232,6 +234,9 @@
         self.log.info("stopped", cut=cut_off, took_ms=round((self.loop.time() - started_at) * 1000))
         return cut_off
 
+    def _answer_by(self, request: Request) -> float:
+        return self.front.answer_by(request)
+
     def _route(self, exchange: Exchange) -> None:
         path = exchange.target.split(b"?", 1)[0]
         if path == b"/graphql":
--- a/badgerbend/graphql/front.py
+++ b/badgerbend/graphql/front.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 import os
 from collections.abc import Callable
 from typing import Any
@@ -35,6 +37,7 @@
 )
 from badgerbend.graphql.schema import Subgraph
 from badgerbend.net.exchange import Exchange
+from badgerbend.net.request_parser import Request
 from badgerbend.runtime.driver import Driver
 from badgerbend.runtime.ports import PartPlan, QueryPlan
 
@@ -92,6 +95,14 @@
             return
         operation.start()
 
+    def answer_by(self, request: Request) -> float:
+        """When the client of a request that waits for its turn stops waiting, on the event loop's clock."""
+        try:
+            time_left_ms = _milliseconds(request.headers, TIME_LEFT)
+        except _HttpError:
+            time_left_ms = None  # the request is rejected in its turn
+        return math.inf if time_left_ms is None else request.received_at + time_left_ms / 1000.0
+
     def _body(self, exchange: Exchange) -> RequestBody:
         if exchange.method == b"POST":
             content_type = exchange.headers.get(b"content-type", b"").split(b";")[0].strip().lower()
@@ -157,7 +168,8 @@
     ) -> None:
         self.front, self.exchange, self.prepared = front, exchange, prepared
         self.raw_variables, self.variables, self.media_type = raw_variables, variables, media_type
-        self.deadline = None if time_left_ms is None else front.now_ms() + time_left_ms
+        waited_ms = (asyncio.get_running_loop().time() - exchange.received_at) * 1000.0
+        self.deadline = None if time_left_ms is None else front.now_ms() + time_left_ms - waited_ms
         self.tenant, self.context = tenant, context
         self.values: dict[str, Any] = {}
         self.completeness: dict[str, Any] = {}
@@ -174,6 +186,7 @@
         self.remaining.reverse()
         self.front.operations.add(self)
         self.exchange.on_disconnect = self.client_disconnected
+        self.exchange.on_expiry = self.expired
         if self.prepared.mutation:
             self._start_next()
             return
@@ -352,6 +365,13 @@
                 self.front.driver.client_disconnected(query.query_id)
         self.pending.clear()
 
+    def expired(self) -> None:
+        """Ends the queries before their time, as the client's time is over for a request behind this one."""
+        self.client_disconnected()
+        status, text = (502, "failed; parts of it may have run") if self.prepared.mutation else (503, "refused")
+        error = GraphQLError(f"{text}: no time is left for a later request on the connection")
+        self.exchange.respond(status, _errors([error]), self.media_type)
+
     def _finish_if_done(self) -> None:
         if self.pending or self.remaining or self not in self.front.operations:
             return
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -16,6 +16,7 @@
 
 from badgerbend.frames.codec import PartRequest
 from badgerbend.net.exchange import Exchange
+from badgerbend.net.request_parser import Request
 from badgerbend.net.responses import Headers
 from badgerbend.platform import names
 from badgerbend.platform.config import Config
@@ -80,10 +81,17 @@
             exchange.respond(err.status, err.reason.encode() + b"\n", TEXT)
             return
         exchange.body = b""  # the query holds a decoded copy
-        pending = self.open[request_id] = _OpenRequest(self, request_id, exchange)
+        is_safe = self.settings.classes[plan.cls].effect == "safe"
+        pending = self.open[request_id] = _OpenRequest(self, request_id, exchange, is_safe)
         exchange.on_disconnect = pending.client_disconnected
+        exchange.on_expiry = pending.expired
         pending.query_id = self.driver.submit(plan, pending)
 
+    def answer_by(self, request: Request) -> float:
+        """When the client of a request that waits for its turn stops waiting, if it says so."""
+        time_left_ms = _time_left_ms(request.headers)
+        return math.inf if time_left_ms is None else request.received_at + time_left_ms / 1000.0
+
     def keep_value(self, part_id: bytes, value: bytes) -> bool:
         """Counts a value that is kept until its request is answered. Returns False if it is too large to be kept."""
         pending = self.open.get(part_id.rpartition(b".")[0])
@@ -111,17 +119,15 @@
         key = headers.get(names.KEY) if class_settings.effect == "keyed" else None
         if class_settings.effect == "keyed" and not ID(key or b""):
             raise Rejected(400, "this class needs an idempotency key")
-        time_left_text = headers.get(names.TIME_LEFT, b"")
-        if not time_left_text.isdigit() or len(time_left_text) > MAX_TIME_LEFT_DIGITS or not int(time_left_text):
+        stated_ms = _time_left_ms(headers)
+        if stated_ms is None:
             raise Rejected(400, "no usable time left")
         routing_key = zlib.crc32(path[2]) if len(path) == 3 else 0
         parts = self._parts(exchange.body, request_id, key)
         retry = headers.get(names.RETRY) == b"1"
         now = self.loop.time()
         waited_ms = max(now - exchange.received_at, 0.0) * 1000.0  # before it was read, or behind another request
-        time_left = min(
-            min(float(int(time_left_text)), class_settings.deadline_ms) - waited_ms, (self.deadline - now) * 1000.0
-        )
+        time_left = min(min(stated_ms, class_settings.deadline_ms) - waited_ms, (self.deadline - now) * 1000.0)
         if time_left <= 0:
             raise Rejected(503, "no time is left")
         return request_id, QueryPlan(
@@ -167,10 +173,10 @@
 class _OpenRequest:
     """One open request; it implements the runtime's `Sink`."""
 
-    __slots__ = ("exchange", "front", "query_id", "request_id", "value_bytes")
+    __slots__ = ("exchange", "front", "is_safe", "query_id", "request_id", "value_bytes")
 
-    def __init__(self, front: Front, request_id: bytes, exchange: Exchange) -> None:
-        self.front, self.request_id, self.exchange = front, request_id, exchange
+    def __init__(self, front: Front, request_id: bytes, exchange: Exchange, is_safe: bool) -> None:
+        self.front, self.request_id, self.exchange, self.is_safe = front, request_id, exchange, is_safe
         self.query_id: int | None = None
         self.value_bytes = 0  # of the values that have been received
 
@@ -201,19 +207,35 @@
     def failed(self) -> None:
         self._end(502, b"failed; parts of it may have run\n", TEXT)
 
+    def expired(self) -> None:
+        """Ends the query before its time, as the client's time is over for a request behind it."""
+        if self.query_id is not None:
+            self.front.driver.client_disconnected(self.query_id)
+        if self.is_safe:
+            self.rejected(0.0)
+        else:
+            self.failed()
+
     def client_disconnected(self) -> None:
-        self.exchange.on_disconnect = None
+        self.exchange.on_disconnect = self.exchange.on_expiry = None
         self.front.open.pop(self.request_id, None)
         if self.query_id is not None:
             self.front.driver.client_disconnected(self.query_id)
 
     def _end(self, status: int, body: bytes, kind: bytes, extra: Headers = ()) -> None:
         self.front.open.pop(self.request_id, None)
-        # The callback refers back to this object; without this line each request would wait for the garbage collector.
-        self.exchange.on_disconnect = None
+        # The callbacks refer back to this object; without this line each request would wait for the garbage collector.
+        self.exchange.on_disconnect = self.exchange.on_expiry = None
         self.exchange.respond(status, body, kind, extra)
 
 
+def _time_left_ms(headers: dict[bytes, bytes]) -> float | None:
+    """How long the client of a request waits for its answer, if it says so in a usable form."""
+    text = headers.get(names.TIME_LEFT, b"")
+    is_usable = text.isdigit() and len(text) <= MAX_TIME_LEFT_DIGITS
+    return float(int(text)) or None if is_usable else None
+
+
 def _text(value: object) -> bytes:
     assert isinstance(value, bytes)
     return b'"%s"' % value if value.isalnum() else _encode(value.decode())
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -110,6 +110,7 @@
                 first_byte_timeout_s=READ_TIMEOUT_S,
                 max_memory_bytes=int(config.limits.memory_mb * 2**20 * CLIENT_MEMORY_FRACTION),
             ),
+            self.front.answer_by,
         )
         self.ending = False
         self._summary_at = 0.0
--- a/tests/connection_machine.py
+++ b/tests/connection_machine.py
@@ -57,9 +57,9 @@
         st.sampled_from((0, 5, 300, 5000, 5000)),  # bytes of the body
     ),
     min_size=1,
-    max_size=40,
+    max_size=25,
 )
-repetitions = st.sampled_from((1, 1, 1, 8))  # of the requests, so that some wait unparsed
+repetitions = st.sampled_from((1, 1, 1, 20))  # of the requests, so that some wait unparsed
 endings = st.sampled_from((b"", b"", b"noise\r\n\r\n" + b"z" * 3000, b"last"))
 
 
@@ -73,15 +73,22 @@
         self.now, self.received, self.taken = 100.0, 0, 0
         self.stream, self.sent, self.due = b"", [], deque()
         self.output, self.statuses, self.ended, self.is_invalid = b"", [], False, False
-        self.has_shed = False
-
-    @initialize(drawn=requests_of_client, repeated=repetitions, ending=endings)
-    def connect(self, drawn, repeated, ending):
+        self.may_shed = self.has_shed = False
+
+    @initialize(
+        drawn=requests_of_client,
+        repeated=repetitions,
+        ending=endings,
+        has_deadlines=st.booleans(),
+        may_shed=st.booleans(),
+    )
+    def connect(self, drawn, repeated, ending, has_deadlines, may_shed):
+        self.may_shed = may_shed
         self.connection = self.subject(ServerLimits(), answer_by)
         count = len(drawn) * repeated
         for number, (method, time_left_s, chunked, padding) in enumerate(drawn * repeated):
             is_last = ending == b"last" and number == count * 2 // 3
-            request = Sent(number, method, time_left_s, is_last)
+            request = Sent(number, method, time_left_s if has_deadlines else None, is_last)
             self.stream += request.encode(chunked, padding)
             request.end = len(self.stream)
             self.sent.append(request)
@@ -98,7 +105,7 @@
         self.now += pause_s
         data = self.stream[self.received : self.received + count]
         self.received += len(data)
-        for request in self.sent:
+        for request in self.sent if self.connection.accepts_input else ():
             if request.received_at is None and request.end <= self.received:
                 request.received_at = self.now
         self.connection.receive(data, self.now)
@@ -147,7 +154,7 @@
         served_later = [request for request in self.connection.waiting if request.refusal is None]
         assert all(request.answer_by > self.now for request in served_later)
 
-    @precondition(lambda self: not self.has_shed)
+    @precondition(lambda self: self.may_shed and not self.has_shed)
     @rule()
     def shed(self):
         if len(self.connection.waiting) > 5:
@@ -167,7 +174,7 @@
             status, output = int(head[1]), output[head.end() :]
             length = int(re.search(rb"content-length: (\d+)", head[2])[1])
             request = self.sent[len(self.statuses)] if len(self.statuses) < len(self.sent) else None
-            has_body = request is None or request.method != b"HEAD"
+            has_body = request is None or request.received_at is None or request.method != b"HEAD"
             body, output = (output[:length], output[length:]) if has_body else (b"", output)
             self.check_response(request, status, body)
             if b"connection: close" in head[2]:
@@ -218,7 +225,7 @@
             self.begin()
             if self.serving is not None:
                 self.respond(False)
-        received = sum(request.end <= self.received for request in self.sent)
+        received = sum(request.received_at is not None for request in self.sent)
         if not self.ended:
             assert len(self.statuses) == received
         last = next((request.number + 1 for request in self.sent if request.is_last), len(self.sent))
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -29,12 +29,10 @@
     """What waits unparsed counts as received with each later byte (review/2)."""
 
     def receive(self, data, received_at):
-        self.latest = received_at
+        for arrival in self.unparsed._arrivals:
+            arrival.received_at = received_at
         super().receive(data, received_at)
 
-    def _parse(self, data, received_at):
-        super()._parse(data, self.latest)
-
 
 class BeginsWhileOutputIsUnsent(HttpConnection):
     def output_blocked(self): ...
--- /dev/null
+++ b/tests/test_waiting_deadlines.py
@@ -0,0 +1,114 @@
+"""Requests that wait on a connection behind others: each has its response inside its time, in its place."""
+
+import asyncio
+import re
+
+import pytest
+
+from badgerbend.standin.work import Model
+from tests import sockets
+from tests.platform_stage import Stage, query, run
+from tests.replacing import replace_attribute
+from tests.sockets import BrokerFixture, until
+
+LATE_S = 0.55  # that a response may come after its client's time
+
+
+async def read_responses(reader, count):
+    """Reads until so many responses have begun; returns what was read, and when the last part of it came."""
+    received = b""
+    while received.count(b"HTTP/1.1") < count:
+        data = await reader.read(65_536)
+        assert data, received
+        received += data
+    return received, asyncio.get_running_loop().time()
+
+
+def statuses(received):
+    return [int(status) for status in re.findall(rb"HTTP/1.1 (\d+)", received)]
+
+
+BEHIND = {"one": (1, b"quote", 503), "one that may have run": (1, b"accept", 502), "many": (40, b"quote", 503)}
+
+
+@pytest.mark.parametrize(("count", "cls", "status"), BEHIND.values(), ids=BEHIND)
+def test_a_request_behind_others_with_later_deadlines_is_refused_inside_its_time(count, cls, status):
+    # It waited for the end of the time of those before it.
+    async def main():
+        async with Stage(behave=lambda part: None) as stage:
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.port)
+            loop = asyncio.get_running_loop()
+            writer.write(stage.head(query((1,)), cls, X_Time_Left_Ms="3000"))
+            await until(lambda: stage.sent())
+            sent_at = loop.time()
+            for number in range(count):
+                writer.write(stage.head(query((1,)), X_Time_Left_Ms="300" if number == count - 1 else "3000"))
+            received, at = await read_responses(reader, 1 + count)
+            assert statuses(received) == [status] + [503] * count
+            assert at - sent_at < 0.3 + LATE_S
+            assert not stage.service.front.open
+            # The connection serves on.
+            writer.write(b"GET /_health HTTP/1.1\r\nhost: x\r\n\r\n")
+            await read_responses(reader, 1)
+            writer.close()
+
+    run(main)
+
+
+def test_a_request_that_waits_is_served_if_those_before_it_end_in_time():
+    async def main():
+        async with Stage(behave=lambda part: asyncio.get_running_loop().call_later(0.05, part.served)) as stage:
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.port)
+            for time_left_ms in ("3000", "1000", "2000"):
+                writer.write(stage.head(query((1,)), X_Time_Left_Ms=time_left_ms))
+            received, _ = await read_responses(reader, 3)
+            assert statuses(received) == [200, 200, 200]
+            writer.close()
+
+    run(main)
+
+
+def graphql(time_left_ms, field="fullQuote(blocks: [1], amount: 5) { id }"):
+    body = b'{"query": "{ %s }"}' % field.encode()
+    head = b"POST /graphql HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\nbadgerbend-time-left-ms: %d\r\n"
+    return head % time_left_ms + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+def test_a_graphql_request_behind_one_with_a_later_deadline_is_refused_inside_its_time():
+    async def main():
+        async with BrokerFixture(model=Model(part_ms=2500.0)) as fixture:
+            reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
+            sent_at = asyncio.get_running_loop().time()
+            writer.write(graphql(3000) + graphql(400))
+            received, at = await read_responses(reader, 2)
+            assert statuses(received) == [503, 503]
+            assert at - sent_at < 0.4 + LATE_S
+            assert not fixture.broker.front.operations
+            writer.close()
+
+    sockets.run(main)
+
+
+def note_time_left(told_ms, handler):
+    def handle(exchange):
+        if b"badgerbend-time-left-ms" in exchange.headers:
+            told_ms.append(float(exchange.headers[b"badgerbend-time-left-ms"]))
+        handler(exchange)
+
+    return handle
+
+
+def test_the_time_of_a_graphql_request_counts_from_its_receipt():
+    # It counted from when the request was begun: servers were told a time that the client no longer had.
+    async def main():
+        async with BrokerFixture(model=Model(part_ms=300.0)) as fixture:
+            told_ms = []
+            for server in fixture.world.servers.values():
+                replace_attribute(server.http, "handler", note_time_left(told_ms, server.http.handler))
+            reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
+            writer.write(graphql(1000) + graphql(1000, "fullQuote(blocks: [2], amount: 5) { id }"))
+            await read_responses(reader, 2)
+            assert told_ms[1] < told_ms[0] - 200.0
+            writer.close()
+
+    sockets.run(main)
