--- a/badgerbend/feed/snapshot_transfers.py
+++ b/badgerbend/feed/snapshot_transfers.py
@@ -105,13 +105,17 @@
         """Start queued transfers and send pieces as far as the limits allow."""
         tuning = self.owner.tuning
         self._bucket.refill(now, tuning)
+        self._send_to_active(now)
         while self._queue and len(self.active) < tuning.max_concurrent_snapshots:
             self._begin(self._queue.popleft())
+            self._send_to_active(now)  # may complete transfers, so that more of the queue can begin
+        is_paced = self._bucket.tokens <= 0 and bool(self.active)
+        self.next_at = self._bucket.next_at(now, tuning) if is_paced else math.inf
+
+    def _send_to_active(self, now: float) -> None:
         for number in list(self.active):
             if number in self.active:  # completing another transfer may have completed this one as well
                 self._send_pieces(now, self.owner.sessions[number])
-        is_paced = self._bucket.tokens <= 0 and bool(self.active)
-        self.next_at = self._bucket.next_at(now, tuning) if is_paced else math.inf
 
     def _begin(self, number: int) -> None:
         session = self.owner.sessions.get(number)
--- a/tests/test_feed_backpressure.py
+++ b/tests/test_feed_backpressure.py
@@ -115,6 +115,22 @@
         assert follower.log.checkpoint == harness.relay.log.checkpoint
 
 
+def test_queued_snapshots_begin_once_all_transfers_have_completed_together():
+    # They waited for ever: no transfer was left whose progress would have begun the next one.
+    harness = full_harness(
+        retention=Retention(publications=1),
+        max_concurrent_snapshots=2,
+        snapshot_burst_bytes=1,
+        snapshot_bytes_per_second=1,
+    )
+    followers = [harness.follower(f"f{number}") for number in range(7)]
+    assert harness.relay.snapshots_started == 2
+    harness.relay.tuning = RelayTuning(max_concurrent_snapshots=2)  # both can now be sent completely in one turn
+    harness.pass_time(1.0)
+    assert all(follower.log.checkpoint == harness.relay.log.checkpoint for follower in followers)
+    assert harness.relay.snapshots_started == 7
+
+
 def test_a_connection_without_a_hello_is_evicted():
     harness = new_harness(hello_timeout=2.0)
     harness.relay.opened(0.0, 99)
