--- a/tests/feed_process.py
+++ b/tests/feed_process.py
@@ -13,7 +13,6 @@
 from badgerbend.feed.framing import FrameReader
 from badgerbend.feed.messages import Publication, SnapshotPiece
 from badgerbend.feed.relay import Relay
-from badgerbend.feed.relay_types import SendTo
 from badgerbend.feed.session import SessionPhase
 from badgerbend.feed_service.control import ControlServer, NotPublishingError
 from badgerbend.feed_service.control_settings import ControlSettings
@@ -83,9 +82,6 @@
 
     def take_actions(self):
         actions = super().take_actions()
-        for action in actions:
-            if isinstance(action, SendTo):
-                self._measure(action.frame)
         sessions = self.sessions.values()
         self.max_loading = max(
             self.max_loading, sum(session.phase is SessionPhase.SENDING_SNAPSHOT for session in sessions)
@@ -93,14 +89,19 @@
         self.max_in_flight = max(self.max_in_flight, max((session.in_flight for session in sessions), default=0))
         return actions
 
-    def _measure(self, frame):
+    def send_frame(self, now, session, data):
+        """Measures a frame at the time of the call that sends it: the actions of many calls are taken together."""
+        super().send_frame(now, session, data)
+        self._measure(now, data)
+
+    def _measure(self, now, frame):
         size = len(frame)
         self.largest_frame = max(self.largest_frame, size)
         (message,) = FrameReader().feed(frame)
         if not isinstance(message, SnapshotPiece):
             return
-        elapsed_s = self.clock.last - self._measured_at
-        self._measured_at = self.clock.last
+        elapsed_s = now - self._measured_at
+        self._measured_at = now
         self.over_rate = max(self.over_rate - elapsed_s * self.tuning.snapshot_bytes_per_second, 0.0) + size
         self.max_over_rate = max(self.max_over_rate, self.over_rate)
         self.largest_piece = max(self.largest_piece, size)
