The test of the shared budget moves its traffic, and decodes each datagram once

Cause, in the test: a broker's own rate follows its share of the traffic, and the busy broker stayed the same.

Change: the clients move between two brokers at each round, as in tests/test_slow_start_budget.py, and a grant is compared with the own rate that the busy broker had reported by then, which is stricter. All other checks stay. The proxy's records were decoded again every 10 ms, so that a round of 4 s took 9 s.

--- a/tests/test_budget_exchange.py
+++ b/tests/test_budget_exchange.py
@@ -16,41 +16,59 @@
 QUERY = "{ fullQuote(blocks: [0], amount: 5) { id } }"
 
 
-def grants(stage, since):
-    """Returns the delivered replies that contain grants: sender, receiver and message."""
-    delivered = [(row, decode_datagram(row["data"])) for row in stage.lines[since:] if row["k"] == "passed"]
-    return [
-        (str(row["from"]), str(row["to"]), message)
-        for row, message in delivered
-        if isinstance(message, BudgetReply) and message.grants
-    ]
-
-
-def own_rates(stage, name):
-    """Returns a broker's own rate for each resource, as last reported."""
-    rates = {}
-    for row in stage.lines:
-        message = decode_datagram(row["data"]) if row["from"] == name else None
-        if isinstance(message, BudgetRequest):
-            rates |= {demand.resource: demand.own_rate for demand in message.demands}
-    return rates
+class LargeGrants:
+    """The replies that granted a busy broker more than its own rate. Each datagram is decoded once, as it comes.
+
+    senders: by the position of the reply among the proxy's records.
+    """
+
+    def __init__(self, stage, traffic):
+        self.lines, self.traffic = stage.lines, traffic
+        self.senders = {}
+        self._own_rates = {}  # by broker and resource, as last reported
+        self._read = 0
+
+    def read(self):
+        while self._read < len(self.lines):
+            row = self.lines[self._read]
+            message = decode_datagram(row["data"])
+            if isinstance(message, BudgetRequest):
+                self._own_rates |= {(row["from"], demand.resource): demand.own_rate for demand in message.demands}
+            is_reply = row["k"] == "passed" and row["to"] == self.traffic.busy and isinstance(message, BudgetReply)
+            if is_reply and any(self._is_large(row["to"], grant) for grant in message.grants):
+                self.senders[self._read] = row["from"]
+            self._read += 1
+
+    def _is_large(self, broker, grant):
+        return grant.rate > 1.2 * self._own_rates.get((broker, grant.resource), 1e9) > 0
+
+    def of_others(self, since, excluded):
+        """The senders that are not excluded, of those after a position."""
+        self.read()
+        return [sender for position, sender in self.senders.items() if position >= since and sender not in excluded]
 
 
 class Traffic:
-    """Many busy clients at one broker, and one client with few queries at each of the others."""
+    """Many clients, which move between two brokers, and one client with few queries at each broker.
 
-    def __init__(self, stage, busy):
+    A broker's own rate follows its share of the traffic, so that only one whose traffic has just come needs more.
+    """
+
+    def __init__(self, stage, first, second):
+        self.clients = {name: Client(process.settings.listen.port) for name, process in stage.processes.items()}
+        self.busy, self.idle = first, second
         self.outcomes = []
-        self.tasks = []
-        for name, process in stage.processes.items():
-            client = Client(process.settings.listen.port)
-            for _ in range(6 if name == busy else 1):
-                self.tasks.append(asyncio.ensure_future(self.send_queries(client, 0.01 if name == busy else 0.3)))
+        self.tasks = [asyncio.ensure_future(self.send_queries(name, 0.3)) for name in self.clients]
+        self.tasks += [asyncio.ensure_future(self.send_queries(None, 0.01)) for _ in range(6)]
+
+    def move(self):
+        self.busy, self.idle = self.idle, self.busy
 
-    async def send_queries(self, client, pause_s):
+    async def send_queries(self, name, pause_s):
+        """Sends queries to a broker, or to the busy one at the time."""
         while True:
             try:
-                status, answer, _ = await client.query(QUERY)
+                status, answer, _ = await self.clients[name or self.busy].query(QUERY)
                 self.outcomes.append("rejected" if status != 200 or "errors" in answer else "answered")
             except ConnectionError:
                 self.outcomes.append("broken")
@@ -66,44 +84,33 @@
     results = {}
 
     async def main(stage):
-        busy = stage.names[0]  # a voter, so that other brokers are preferred as holders of the lease
-        traffic = Traffic(stage, busy)
+        # Voters, so that other brokers are preferred as holders of the lease.
+        traffic = Traffic(stage, stage.names[0], stage.names[1])
+        large_grants = LargeGrants(stage, traffic)
 
         async def restart_servers():
             for name in stage.world.servers:
                 await stage.world.restart(name)
 
-        def large_grants(since):
-            """Returns the senders of replies that granted the busy broker more than its own rate."""
-            own = own_rates(stage, busy)
-            return [
-                sender
-                for sender, receiver, reply in grants(stage, since)
-                if receiver == busy
-                and any(grant.rate > 1.2 * own.get(grant.resource, 1e9) > 0 for grant in reply.grants)
-            ]
-
-        def large_grants_of_others(since, excluded):
-            return [sender for sender in large_grants(since) if sender != excluded]
-
-        async def until_large_grant(excluded=""):
-            """Waits for such a reply of a sender other than `excluded`, and returns the sender.
+        async def until_large_grant(excluded=()):
+            """Waits for such a reply of a sender that is not excluded, and returns the sender.
 
-            The servers are restarted again if they have warmed up by then.
+            The clients move, and the servers are restarted again if they have warmed up by then.
             """
             since = len(stage.lines)
-            while not large_grants_of_others(since, excluded):
+            while not large_grants.of_others(since, excluded):
+                traffic.move()
                 await restart_servers()
                 for _ in range(400):
-                    if large_grants_of_others(since, excluded):
+                    if large_grants.of_others(since, excluded):
                         break
                     await asyncio.sleep(0.01)
-            return large_grants_of_others(since, excluded)[0]
+            return large_grants.of_others(since, excluded)[0]
 
         await until(lambda: traffic.outcomes.count("answered") > 200)
-        allocator = await until_large_grant(excluded=busy)
+        allocator = await until_large_grant(excluded=(traffic.busy, traffic.idle))
         stage.processes[allocator].send(signal.SIGSTOP)
-        await until_large_grant(excluded=allocator)
+        await until_large_grant(excluded=(allocator,))
         since = len(stage.lines)
         stage.processes[allocator].send(signal.SIGCONT)
         await until(lambda: any(row["from"] == allocator for row in stage.lines[since:]))
