--- a/tests/test_waiting_deadlines.py
+++ b/tests/test_waiting_deadlines.py
@@ -68,6 +68,57 @@
     run(main)
 
 
+def test_a_request_with_the_id_of_the_one_before_it_is_served_after_it():
+    async def main():
+        async with Stage() as stage:
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.port)
+            for shard in (1, 2):
+                writer.write(stage.head(query((shard,)), X_Correlation_Id="same"))
+            received, _ = await read_responses(reader, 2)
+            assert statuses(received) == [200, 200]
+            assert received.index(b'"tablet":1') < received.index(b'"tablet":2')
+            writer.close()
+
+    run(main)
+
+
+def test_a_client_that_ends_its_sending_side_has_gone_and_nothing_is_begun_for_it():
+    # The protocol page: a client that closes its connection has gone away.
+    async def main():
+        async with Stage(behave=lambda part: None) as stage:
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.port)
+            writer.write(stage.head(query((1,))) + stage.head(query((2,))))
+            await until(lambda: stage.sent())
+            writer.write_eof()
+            assert await asyncio.wait_for(reader.read(), 1.0) == b""
+            await until(lambda: not stage.service.server.connections)
+            await asyncio.sleep(0.1)
+            assert {part.shard for part in stage.sent()} == {1}
+            assert not stage.service.front.open
+            writer.close()
+
+    run(main)
+
+
+REJECTED = {
+    400: b"\x93\x01noise\r\n\r\n",
+    413: b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 999999999\r\n\r\n",
+    431: b"GET / HTTP/1.1\r\n" + b"x: " + b"y" * 20_000,
+}
+
+
+@pytest.mark.parametrize("status", REJECTED)
+def test_a_rejection_follows_the_responses_to_the_requests_that_wait(status):
+    async def main():
+        async with Stage() as stage:
+            reader, writer = await asyncio.open_connection("127.0.0.1", stage.port)
+            writer.write(b"".join(stage.head(query((1,))) for _ in range(3)) + REJECTED[status])
+            assert statuses(await reader.read()) == [200, 200, 200, status]
+            writer.close()
+
+    run(main)
+
+
 def graphql(time_left_ms, field="fullQuote(blocks: [1], amount: 5) { id }"):
     body = b'{"query": "{ %s }"}' % field.encode()
     head = b"POST /graphql HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\nbadgerbend-time-left-ms: %d\r\n"
