Requests that are read together after a stall keep their times of receipt

Cause: the kernel tells when the last segment was received (TCP_INFO), and that time counted for all that was read with it. After a stall the first request of a pipelining client looked as new as the last, so that nodes were told a time that the client no longer had.

What is read now was received after the note before the latest, since the loop has looked for input between the two.

--- a/badgerbend/net/http_connection.py
+++ b/badgerbend/net/http_connection.py
@@ -86,26 +86,28 @@
             size += self._parser.partial_size
         return size + len(self.unparsed) if self.unparsed else size
 
-    def receive(self, data: bytes, received_at: float) -> None:
-        """Takes bytes of which the last was received at the given time, if input is accepted."""
+    def receive(self, data: bytes, received_at: float, earliest_at: float) -> None:
+        """Takes bytes, if input is accepted. The last was received at the first time, others not before the second."""
         if not self.accepts_input:
             return
         if self.unparsed or len(data) > PARSE_CHUNK_BYTES:
-            self.unparsed.append(data, received_at)
+            self.unparsed.append(data, earliest_at)
             self.parse_ahead()
         else:
-            self._parse(data, received_at)
+            self._parse(data, received_at, earliest_at)
 
     def parse_ahead(self) -> None:
         """Parses waiting input until enough requests are parsed."""
         while self.unparsed and len(self.waiting) < MAX_PARSED_AHEAD:
-            self._parse(*self.unparsed.take(PARSE_CHUNK_BYTES))
+            data, earliest_at = self.unparsed.take(PARSE_CHUNK_BYTES)
+            self._parse(data, earliest_at, earliest_at)
 
-    def _parse(self, data: bytes, received_at: float) -> None:
+    def _parse(self, data: bytes, received_at: float, earliest_at: float) -> None:
         parser = self._parser
         requests = parser.feed(data)
+        is_alone = len(requests) == 1 and not parser.in_request  # its last byte is the last of the data
         for request in requests:
-            self._add(request, received_at)
+            self._add(request, received_at if is_alone else earliest_at)
             if not request.keep_alive:
                 self._drop_input()
                 return
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 
 from badgerbend.net.acceptor import Acceptor, Listener, accept_from
+from badgerbend.net.awake_times import AwakeTimes
 from badgerbend.net.exchange import Handler
 from badgerbend.net.http_connection import AnswerBy, no_deadline
 from badgerbend.net.memory_budget import MemoryBudget
@@ -35,6 +37,7 @@
         self.memory = MemoryBudget(limits.max_memory_bytes, limits.max_connections)
         self.address = ("", 0)  # set by `start`
         self._listener: Listener | None = None
+        self._awake: AwakeTimes | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._emptied: asyncio.Future[None] | None = None
 
@@ -44,6 +47,8 @@
         listener = await bound_socket(loop, host, port)
         self._listener = await accept_from(loop, listener, lambda: ServerConnection(self, loop))
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep, loop)
+        self._awake = AwakeTimes(loop)
+        self._awake.start()
         bound = listener.getsockname()
         self.address = (str(bound[0]), int(bound[1]))
         return self.address[1]
@@ -53,6 +58,11 @@
         """Accepts that failed because of a lack of descriptors or memory; 0 once the server stops listening."""
         return self._listener.failures if isinstance(self._listener, Acceptor) else 0
 
+    @property
+    def awake_at(self) -> float:
+        """What is read now was received after this time."""
+        return math.inf if self._awake is None else self._awake.last_at
+
     def stop_listening(self) -> None:
         if self._listener is not None:
             self._listener.close()
@@ -79,6 +89,8 @@
             connection.abort()
         if self._sweeper is not None:
             self._sweeper.cancel()
+        if self._awake is not None:
+            self._awake.stop()
         return cut_off
 
     def admit(self, connection: ServerConnection) -> bool:
--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -88,7 +88,8 @@
             self._discarded_input().discard(len(data))
             return
         was_receiving, now = http.receiving, self.loop.time()
-        http.receive(data, now - (receive_delay_s(self.transport) if self.transport is not None else 0.0))
+        received_at = now - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
+        http.receive(data, received_at, min(received_at, self.server.awake_at))
         if http.received_requests != count or (not was_receiving and count):
             self.phase_started_at = now
         self._advance()
--- a/badgerbend/net/server_interface.py
+++ b/badgerbend/net/server_interface.py
@@ -16,8 +16,9 @@
 class Server(Protocol):
     """The server of a connection.
 
-    answer_by: when the client of a request stops waiting. memory: bounds what all connections hold. closing: the server
-    shuts down. lingering: the number of connections in a lingering close.
+    answer_by: when the client of a request stops waiting. awake_at: what is read now was received after this time.
+    memory: bounds what all connections hold. closing: the server shuts down. lingering: the number of connections in a
+    lingering close.
     """
 
     handler: Handler
@@ -27,6 +28,9 @@
     closing: bool
     lingering: int
 
+    @property
+    def awake_at(self) -> float: ...
+
     def admit(self, connection: ServerConnection) -> bool:
         """Adds a connection, or returns False if there are too many."""
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import re
+import time
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -150,3 +151,23 @@
             reading.cancel()
 
     run(main)
+
+
+def test_a_request_read_after_a_stall_together_with_a_later_one_keeps_its_time_of_receipt():
+    # The kernel tells when the last bytes were received; it counted for all that were read with them.
+    async def main():
+        async with ServerWithClients() as subject:
+            sock, _ = await subject.client()
+            await asyncio.sleep(0.1)
+            sent_at = asyncio.get_running_loop().time()
+            sock.send(GET % 1)
+            time.sleep(0.3)
+            sock.send(GET % 2)
+            await until(lambda: subject.requests)
+            assert sent_at - 0.1 < subject.requests[0].received_at < sent_at + 0.05
+            subject.answer()
+            await until(lambda: subject.requests)
+            assert subject.requests[0].received_at < sent_at + 0.3 + 0.05
+            subject.answer()
+
+    run(main)
