A request that is read together with invalid bytes behind it counts from the earlier time too

Cause: whether anything follows a request in the same read was taken from the parser's state, which has no request begun where the bytes behind are rejected (noise, or input after "connection: close"). The time of the last byte counted for the request, which could be late by a stall.

--- a/badgerbend/net/http_connection.py
+++ b/badgerbend/net/http_connection.py
@@ -105,7 +105,7 @@
     def _parse(self, data: bytes, received_at: float, earliest_at: float) -> None:
         parser = self._parser
         requests = parser.feed(data)
-        is_alone = len(requests) == 1 and not parser.in_request  # its last byte is the last of the data
+        is_alone = len(requests) == 1 and not parser.in_request and parser.error is None  # nothing follows it
         for request in requests:
             self._add(request, received_at if is_alone else earliest_at)
             if not request.keep_alive:
