The HTTP client's connection, its calls and the server's timeouts are modules of their own

Now: calls (a call and how it ended), client_connection (parses a response), pool_limits, client (the pool); callers import from the module that has the name. No behaviour changes.

--- a/badgerbend/broker.py
+++ b/badgerbend/broker.py
@@ -28,8 +28,8 @@
 from badgerbend.lease_service.service_metrics import update_metrics
 from badgerbend.log import get_logger
 from badgerbend.metrics import Metrics
-from badgerbend.net.client import PoolLimits
 from badgerbend.net.exchange import Exchange
+from badgerbend.net.pool_limits import PoolLimits
 from badgerbend.net.request_parser import Request
 from badgerbend.net.server import HttpServer
 from badgerbend.net.server_limits import ServerLimits
--- a/badgerbend/discovery/consul.py
+++ b/badgerbend/discovery/consul.py
@@ -8,7 +8,7 @@
 from badgerbend.discovery.directory import Directory, ListReader, decode_rows
 from badgerbend.discovery.polls import Retention
 from badgerbend.discovery.target import Pace
-from badgerbend.net.client import Reply
+from badgerbend.net.calls import Reply
 
 ANSWER_TIMEOUT_S = 2.0  # after the longest wait that the query allows, before a silent poll is abandoned
 
--- a/badgerbend/discovery/members.py
+++ b/badgerbend/discovery/members.py
@@ -16,7 +16,7 @@
 from badgerbend.discovery.directory import DepartureParser, Directory, Entry, ListError, ListReader, RowParser
 from badgerbend.discovery.polls import Retention
 from badgerbend.discovery.target import Pace
-from badgerbend.net.client import Reply
+from badgerbend.net.calls import Reply
 
 MAX_BYTES = 4_194_304  # of one answer
 MIN_UPDATE_INTERVAL_S = 0.02  # well within the time in which the next poll has to follow to keep the watch alive
--- a/badgerbend/discovery/polls.py
+++ b/badgerbend/discovery/polls.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from badgerbend.net.client import Call
+from badgerbend.net.calls import Call
 
 MIN_OVERDUE_LIMIT, MAX_OVERDUE_LIMIT = 8, 15
 """Bounds of the number of overdue polls that are left open beside the latest one; each holds a connection."""
--- a/badgerbend/discovery/target.py
+++ b/badgerbend/discovery/target.py
@@ -8,7 +8,7 @@
 
 from badgerbend.discovery.directory import Directory, ListReader
 from badgerbend.discovery.polls import Retention, Timer
-from badgerbend.net.client import Reply
+from badgerbend.net.calls import Reply
 
 
 class Clock(Protocol):
--- a/badgerbend/discovery/watch.py
+++ b/badgerbend/discovery/watch.py
@@ -17,7 +17,9 @@
 from badgerbend.discovery.polls import OverduePolls, Poll, Timer
 from badgerbend.discovery.predecessors import Predecessor, Predecessors
 from badgerbend.discovery.target import Clock, Target
-from badgerbend.net.client import CallResult, Pool, PoolLimits, Reply
+from badgerbend.net.calls import CallResult, Reply
+from badgerbend.net.client import Pool
+from badgerbend.net.pool_limits import PoolLimits
 
 # The answer timeout is counted in turns. Each lasts its share of the timeout or, if the event loop comes round later
 # than that, one turn of the loop. Opening a connection, sending a request and reading an answer take four turns of the
--- a/badgerbend/graphql/fetch.py
+++ b/badgerbend/graphql/fetch.py
@@ -18,7 +18,8 @@
 from badgerbend.graphql.documents import ROWS, Template
 from badgerbend.graphql.fields import Fetch
 from badgerbend.graphql.selection import ALIAS_PLACEHOLDER
-from badgerbend.net.client import Call, CallResult, Pool, Reply
+from badgerbend.net.calls import Call, CallResult, Reply
+from badgerbend.net.client import Pool
 from badgerbend.runtime.ports import Attempt
 
 NOT_RUN = b"badgerbend-not-run"  # header by which a server proves that it ran nothing of the request
--- a/badgerbend/lease_service/health_check_duty.py
+++ b/badgerbend/lease_service/health_check_duty.py
@@ -15,7 +15,8 @@
 from badgerbend.leases.health_checks import HealthChecker, observations_of, suspected_servers, suspicion_report
 from badgerbend.leases.holder import LeaseHolder
 from badgerbend.leases.messages import ProbeReport, SuspicionReport
-from badgerbend.net.client import CallResult, Pool, Reply
+from badgerbend.net.calls import CallResult, Reply
+from badgerbend.net.client import Pool
 from badgerbend.net.udp import Address, address_text
 from badgerbend.runtime.driver import Driver
 
--- a/badgerbend/net/fetch.py
+++ b/badgerbend/net/fetch.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
-from badgerbend.net.client import CallResult, Pool, PoolLimits, Reply
+from badgerbend.net.calls import CallResult, Reply
+from badgerbend.net.client import Pool
+from badgerbend.net.pool_limits import PoolLimits
 
 LIMITS = PoolLimits(connect_timeout_s=2.0, idle_s=60.0, max_answer_bytes=64 << 20)
 
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -13,11 +13,13 @@
 
 from badgerbend.net.acceptor import Acceptor, Listener, accept_from
 from badgerbend.net.awake_times import AwakeTimes
+from badgerbend.net.connection_timeouts import check_timeouts
 from badgerbend.net.exchange import Handler
 from badgerbend.net.http_connection import AnswerBy, no_deadline
 from badgerbend.net.memory_budget import MemoryBudget
 from badgerbend.net.server_connection import ServerConnection
 from badgerbend.net.server_limits import ServerLimits
+from badgerbend.net.socket_events import has_unread_input
 
 SWEEP_INTERVAL_S = 0.5  # between checks for slow readers and idle connections
 
@@ -109,9 +111,8 @@
         """
         candidates = [c for c in self.connections if not c.http.has_open_requests and not c.has_unsent_data()]
         candidates.sort(key=lambda c: (not c.lingering, c.http.receiving, c.phase_started_at))
-        victim = next(
-            (c for c in candidates if c.lingering or not c.has_unread_input()), candidates[0] if candidates else None
-        )
+        preferred = (c for c in candidates if c.lingering or not has_unread_input(c.transport))
+        victim = next(preferred, candidates[0] if candidates else None)
         if victim is None:
             return False
         self.connections.discard(victim)
@@ -131,7 +132,7 @@
     def _sweep(self, loop: asyncio.AbstractEventLoop) -> None:
         now = loop.time()
         for connection in list(self.connections):
-            connection.sweep(now)
+            check_timeouts(connection, now)
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep, loop)
 
 
--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -240,26 +240,11 @@
         return True
 
     # -- idle and slow peers
-    def has_unread_input(self) -> bool:
-        """Whether the socket has input that this iteration of the loop has yet to read."""
-        return has_unread_input(self.transport)
-
     def has_unsent_data(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
         """Closes the connection if it is between requests and has no unread input."""
         busy = self.http.has_open_requests or self.http.receiving or self.lingering
-        if not busy and self.transport and not self.has_unread_input():
+        if not busy and self.transport and not has_unread_input(self.transport):
             self.transport.close()
-
-    def sweep(self, now: float) -> None:
-        limits, waited_s = self.server.limits, now - self.phase_started_at
-        if self.write_blocked_since is not None and now - self.write_blocked_since > limits.read_timeout_s:
-            self.abort()  # the client does not read its response
-        elif self.lingering:
-            pass  # the lingering close has its own bounds
-        elif self.http.receiving and not self.http.has_open_requests and waited_s > limits.read_timeout_s:
-            self.reject(Rejection(408, b"the request took too long to arrive"))
-        elif waited_s > (limits.idle_timeout_s if self.http.received_requests else limits.first_byte_timeout_s):
-            self.close_if_idle()
--- a/badgerbend/peering/exchange.py
+++ b/badgerbend/peering/exchange.py
@@ -11,8 +11,10 @@
 from collections.abc import Callable
 
 from badgerbend.knowledge.record import MAX_RECORD_BYTES, KnowledgeRecord, RecordError, aged, decode, encode
-from badgerbend.net.client import Call, CallResult, Pool, PoolLimits, Reply
+from badgerbend.net.calls import Call, CallResult, Reply
+from badgerbend.net.client import Pool
 from badgerbend.net.exchange import Exchange
+from badgerbend.net.pool_limits import PoolLimits
 from badgerbend.net.seal import sign, verify
 from badgerbend.net.server import HttpServer
 from badgerbend.net.server_limits import ServerLimits
--- a/badgerbend/peering/pull.py
+++ b/badgerbend/peering/pull.py
@@ -13,7 +13,7 @@
 from badgerbend.log import get_logger
 from badgerbend.membership.members import Member
 from badgerbend.membership.messages import MemberState
-from badgerbend.net.client import Call
+from badgerbend.net.calls import Call
 from badgerbend.peering.exchange import FetchError, fetch_record
 
 PULL_TIMEOUT_S = 1.0  # records of peers that have not answered by then are not used
--- a/badgerbend/pools.py
+++ b/badgerbend/pools.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator
 
 from badgerbend.discovery.directory import Directory
-from badgerbend.net.client import Pool, PoolLimits
+from badgerbend.net.client import Pool
+from badgerbend.net.pool_limits import PoolLimits
 
 
 class ServerPools:
--- a/badgerbend/standin/traffic.py
+++ b/badgerbend/standin/traffic.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from badgerbend.config.value_types import Count, FractionOrZero, Name, Positive
-from badgerbend.net.client import Call, CallResult, Reply
+from badgerbend.net.calls import Call, CallResult, Reply
 from badgerbend.standin.client import Client
 from badgerbend.standin.server import Record
 
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -28,7 +28,8 @@
 from badgerbend.broker import Broker, read_subgraph, tune_garbage_collector
 from badgerbend.config import settings as cfg
 from badgerbend.config.reading import load as load_settings
-from badgerbend.net.client import Pool, PoolLimits
+from badgerbend.net.client import Pool
+from badgerbend.net.pool_limits import PoolLimits
 from badgerbend.net.server import HttpServer
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.standin.day import cpu_s
--- a/benchmarks/scale/list_memory.py
+++ b/benchmarks/scale/list_memory.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from badgerbend.net.client import Reply
+from badgerbend.net.calls import Reply
 from scale.list_reading import BrokerList
 from scale.list_rows import FORMS, ListForm, Node, make_nodes, with_drain_toggled
 
--- a/benchmarks/scale/list_reading.py
+++ b/benchmarks/scale/list_reading.py
@@ -8,7 +8,7 @@
 from badgerbend import api
 from badgerbend.decisions import Aggregator
 from badgerbend.discovery.directory import ListReader
-from badgerbend.net.client import Reply
+from badgerbend.net.calls import Reply
 from scale.list_rows import ListForm
 from scale.processor import cpu_ms
 from scale.target import configuration
--- a/benchmarks/scale/list_rows.py
+++ b/benchmarks/scale/list_rows.py
@@ -18,7 +18,7 @@
 from badgerbend.discovery.directory import Directory
 from badgerbend.discovery.members import MembersTarget, departure_parser, row_parser
 from badgerbend.discovery.target import Target
-from badgerbend.net.client import CallResult, Reply
+from badgerbend.net.calls import CallResult, Reply
 from badgerbend.platform import names
 from scale.target import KIND_NAMES, ZONE_NAMES
 
--- a/benchmarks/scale/lists.py
+++ b/benchmarks/scale/lists.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from statistics import median
 
-from badgerbend.net.client import Reply
+from badgerbend.net.calls import Reply
 from scale.figures import Figure, Kind, Part
 from scale.list_memory import MEGABYTE, memory_of
 from scale.list_reading import ApplyCost, BrokerList
--- a/benchmarks/scale/query_sockets.py
+++ b/benchmarks/scale/query_sockets.py
@@ -17,7 +17,9 @@
 
 import msgspec
 
-from badgerbend.net.client import Pool, PoolLimits, Reply
+from badgerbend.net.calls import Reply
+from badgerbend.net.client import Pool
+from badgerbend.net.pool_limits import PoolLimits
 from badgerbend.platform.service import Service
 from badgerbend.standin.agent import Agent
 from badgerbend.standin.framenode import FrameNode
--- a/benchmarks/settle.py
+++ b/benchmarks/settle.py
@@ -40,7 +40,7 @@
 from badgerbend.config.reading import load
 from badgerbend.knowledge.record import KnowledgeRecord, ServerObservation, aged
 from badgerbend.membership.messages import MemberState
-from badgerbend.net.client import Reply
+from badgerbend.net.calls import Reply
 from badgerbend.standin.client import Client
 from badgerbend.standin.work import Model
 from badgerbend.standin.world import World
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from badgerbend.net.client import CallResult, Pool
+from badgerbend.net.calls import CallResult
+from badgerbend.net.client import Pool
 from badgerbend.platform import config
 from badgerbend.platform.service import Service
 from badgerbend.standin.agent import Agent
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -12,7 +12,7 @@
 from badgerbend.graphql.documents import Template
 from badgerbend.graphql.fetch import FetchTransport
 from badgerbend.graphql.fields import Fetch, RequestContext
-from badgerbend.net.client import CallResult, Reply
+from badgerbend.net.calls import CallResult, Reply
 from badgerbend.net.server import HttpServer
 from badgerbend.net.server_connection import ServerConnection
 from badgerbend.net.server_limits import ServerLimits
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -5,7 +5,9 @@
 import msgspec
 import pytest
 
-from badgerbend.net.client import CallResult, Pool, PoolLimits
+from badgerbend.net.calls import CallResult
+from badgerbend.net.client import Pool
+from badgerbend.net.pool_limits import PoolLimits
 from badgerbend.net.server import HttpServer
 from badgerbend.net.server_limits import ServerLimits
 from tests.replacing import replaced
--- a/tests/test_http_client_memory.py
+++ b/tests/test_http_client_memory.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from badgerbend.net.client import MAX_INCOMPLETE_ANSWERS, CallResult, Pool, PoolLimits
+from badgerbend.net.calls import CallResult
+from badgerbend.net.client import MAX_INCOMPLETE_ANSWERS, Pool
+from badgerbend.net.pool_limits import PoolLimits
 from tests.memory_clients import chunks_of, small_headers
 from tests.platform_stage import run
 from tests.sockets import until
--- a/tests/test_lease_service.py
+++ b/tests/test_lease_service.py
@@ -31,7 +31,7 @@
     encode,
 )
 from badgerbend.leases.timing import LeaseTiming
-from badgerbend.net.client import CallResult
+from badgerbend.net.calls import CallResult
 from tests.sockets import EXAMPLE
 
 
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -17,7 +17,8 @@
 from badgerbend.disk import write_atomically
 from badgerbend.knowledge.record import AnswerLatency, KnowledgeRecord, ServerObservation, encode
 from badgerbend.membership.messages import MemberState
-from badgerbend.net.client import Pool, PoolLimits
+from badgerbend.net.client import Pool
+from badgerbend.net.pool_limits import PoolLimits
 from badgerbend.net.seal import KeyFileError, read_key
 from badgerbend.peering.exchange import FetchError, KnowledgeServer, fetch_record
 from badgerbend.snapshot.store import encode_snapshot
--- a/tests/test_public_status.py
+++ b/tests/test_public_status.py
@@ -10,7 +10,7 @@
 from badgerbend.config.fleet import Duties, Peers, Site, Sites, VoterEndpoint
 from badgerbend.config.settings import Identity, Tenant
 from badgerbend.lease_service.status import LeaseServiceStatus, service_status
-from badgerbend.net.client import CallResult
+from badgerbend.net.calls import CallResult
 from badgerbend.peering.exchange import FetchError, fetch_record
 from badgerbend.sites.admission import Rejection, RejectionReason
 from badgerbend.sites.status import sites_status
--- a/tests/test_silent_agent.py
+++ b/tests/test_silent_agent.py
@@ -12,7 +12,7 @@
 from badgerbend.discovery.directory import Directory
 from badgerbend.discovery.members import MembersTarget, row_parser
 from badgerbend.discovery.watch import Watch
-from badgerbend.net.client import CallResult, Reply
+from badgerbend.net.calls import CallResult, Reply
 from badgerbend.platform import names
 from tests.clock import Clock
 from tests.conftest import SETTINGS
