A planted defect of the simulated drains is sought with a seed that shows it again

Cause: the simulated event loop gives each turn a duration, and net/awake_times.py adds turns, so that what a seed draws falls elsewhere. Of the seeds 0 to 59 two showed the defect on (0 and 52), one does now (52); without the notes of the time seed 0 shows it as before. The test keeps its check, with seed 52; both versions are found by it.

test_simulated_drains.py passes whole.

--- a/tests/test_simulated_drains.py
+++ b/tests/test_simulated_drains.py
@@ -44,7 +44,7 @@
 DEFECTS = {
     "the broker listens before the agent could answer": (listen_before_first_list, 21),
     "a poll waits for longer than the grace period": (lambda m: m.setattr(members, "WAIT_FRACTION", 10.0), 5),
-    "a silent poll is abandoned late": (lambda m: m.setattr(members, "ANSWER_TIMEOUT_FRACTION", 10.0), 0),
+    "a silent poll is abandoned late": (lambda m: m.setattr(members, "ANSWER_TIMEOUT_FRACTION", 10.0), 52),
     "a failed poll is retried late": (lambda m: m.setattr(members, "RETRY_FRACTION", 5.0), 37),
     "a poll is aborted as the next one is sent": (abort_overdue_polls, 5),
     "a row that lacks fields is ignored": (
