The body of an open request is dropped where it is held, not only in the exchange's copy

The platform's front dropped the copy of the body once the query was decoded (`exchange.body = b""`), and the request kept the bytes until its response: up to 64 KB for each open request, inside what the memory budget counts.

Change: the exchange reads the body of the request and has no copy of it; `Exchange.drop_body` drops it there.

--- a/badgerbend/net/exchange.py
+++ b/badgerbend/net/exchange.py
@@ -36,7 +36,7 @@
 
     __slots__ = (
         "_connection",
-        "body",
+        "_request",
         "disconnected",
         "headers",
         "method",
@@ -48,19 +48,23 @@
     )
 
     def __init__(self, connection: Connection, request: Request) -> None:
-        self._connection = connection
+        self._connection, self._request = connection, request
         self.received_at = request.received_at  # when its last byte was received, on the loop's clock
-        self.method, self.target, self.headers, self.body = (
-            request.method,
-            request.target,
-            request.headers,
-            request.body,
-        )
+        self.method, self.target, self.headers = request.method, request.target, request.headers
         self.size = request.size  # an estimate of the bytes that it takes in memory
         self.disconnected = False
         self.on_disconnect: Callable[[], None] | None = None
         self.on_expiry: Callable[[], None] | None = None  # responds at once; see `expire`
 
+    @property
+    def body(self) -> bytes:
+        """The body of the request, until it is dropped."""
+        return self._request.body
+
+    def drop_body(self) -> None:
+        """Drops the body, which the connection would hold until the response."""
+        self._request.body = b""
+
     def disconnect(self) -> None:
         """The connection is lost: no response can be written."""
         self.disconnected = True
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -80,7 +80,7 @@
             self.rejected += 1
             exchange.respond(err.status, err.reason.encode() + b"\n", TEXT)
             return
-        exchange.body = b""  # the query holds a decoded copy
+        exchange.drop_body()  # the query holds a decoded copy
         is_safe = self.settings.classes[plan.cls].effect == "safe"
         pending = self.open[request_id] = _OpenRequest(self, request_id, exchange, is_safe)
         exchange.on_disconnect = pending.client_disconnected
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -447,6 +447,18 @@
     run(main)
 
 
+def test_the_body_of_an_open_request_is_not_kept_beside_its_decoded_copy():
+    async def main():
+        async with Stage(behave=lambda part: None) as s:
+            asking = asyncio.ensure_future(s.ask((1, 2)))
+            await until(lambda: s.sent())
+            (connection,) = s.service.server.connections
+            assert connection.http.serving.body == connection.active.body == b""
+            asking.cancel()
+
+    run(main)
+
+
 def test_a_valid_answer_with_an_unreadable_report_counts():
     async def main():
         async with Stage(behave=lambda p: p.connection.send(p.answer(b"served", p.value(), b"{\xff,,"))) as s:
