One function tells how long a request has waited; a check that could not fail goes

Both fronts computed the wait of a request from its time of receipt: now Exchange.waited_ms. (The platform's bound at 0 goes: a time of receipt is at most the time of its read.) ServerConnection._linger asked whether the connection lingers already; its only caller writes the last response, once. The server's docstring said that each open exchange is told of a disconnect; it is the one that is being served.

--- a/badgerbend/graphql/front.py
+++ b/badgerbend/graphql/front.py
@@ -168,7 +168,7 @@
     ) -> None:
         self.front, self.exchange, self.prepared = front, exchange, prepared
         self.raw_variables, self.variables, self.media_type = raw_variables, variables, media_type
-        waited_ms = (asyncio.get_running_loop().time() - exchange.received_at) * 1000.0
+        waited_ms = exchange.waited_ms(asyncio.get_running_loop().time())
         self.deadline = None if time_left_ms is None else front.now_ms() + time_left_ms - waited_ms
         self.tenant, self.context = tenant, context
         self.values: dict[str, Any] = {}
--- a/badgerbend/net/exchange.py
+++ b/badgerbend/net/exchange.py
@@ -83,6 +83,10 @@
         """A key that all exchanges of one connection share."""
         return id(self._connection)
 
+    def waited_ms(self, now: float) -> float:
+        """How long ago the request was received: before it was read, or behind another request."""
+        return (now - self.received_at) * 1000.0
+
     def client_has_left(self) -> bool:
         """Whether the peer has closed the connection, read or not yet; if so, the connection is aborted."""
         return self.disconnected or self._connection.abort_if_peer_left()
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 server: a listening socket and its connections.
 
 A handler is called with each complete request and responds with `Exchange.respond`, at once or later. A connection
-serves its requests in order, one at a time. If the peer closes the connection, `on_disconnect` of each open exchange is
-called.
+serves its requests in order, one at a time. If the peer closes the connection, `on_disconnect` of the exchange that is
+being served is called.
 """
 
 from __future__ import annotations
--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -223,10 +223,9 @@
         return self.discarded
 
     def _linger(self) -> None:
-        if not self.lingering:
-            self.server.lingering += 1
-            self._report_waiting()
-            self._discarded_input().linger()
+        self.server.lingering += 1
+        self._report_waiting()
+        self._discarded_input().linger()
 
     def abort(self) -> None:
         if self.transport:
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -126,7 +126,7 @@
         parts = self._parts(exchange.body, request_id, key)
         retry = headers.get(names.RETRY) == b"1"
         now = self.loop.time()
-        waited_ms = max(now - exchange.received_at, 0.0) * 1000.0  # before it was read, or behind another request
+        waited_ms = exchange.waited_ms(now)
         time_left = min(min(stated_ms, class_settings.deadline_ms) - waited_ms, (self.deadline - now) * 1000.0)
         if time_left <= 0:
             raise Rejected(503, "no time is left")
