--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,6 +18,7 @@
 
 
 async def case(record: Record) -> list[str]:
+    """Plays the case; returns what was broken."""
     async with Stage(record) as stage:
         hung = []
 
--- a/review/rig.py
+++ b/review/rig.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import copy
 import hashlib
 import json
@@ -248,10 +249,8 @@
         query = dict(pair.split("=", 1) for pair in target.partition("?")[2].split("&") if "=" in pair)
         since = int(query["since"]) if "since" in query else None
         if since is not None and since >= self.rev:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), int(query["timeout_ms"]) / 1000)
-            except TimeoutError:
-                pass
         if self.silent:
             await asyncio.sleep(3600)
         rows = list(self.rows.values())
