A part is sent on a connection only once, so that a second answer ends no later attempt

Cause: all attempts for a part have one id. may_receive_answer kept two of them on different connections only while the first was in flight or cancelled. After it was answered, a second copy of that answer ended the next attempt.

Change: a connection remembers the ids that it was given for the longest deadline and 1 s, in frames/part_ids.py, and carries no further attempt for them. A known second copy fails other parts in flight no more.

--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -14,11 +14,15 @@
 
 from badgerbend.api import Outcome
 from badgerbend.frames.codec import Decoder, FrameNames, PartAnswer, PartRequest, encode_call, encode_frame
+from badgerbend.frames.part_ids import PartIdHistory
 from badgerbend.runtime.ports import Attempt
 
 DELAYED_MS = 1.0
 """A part written later than this after the decision counts as delayed: its client may have left in the meantime."""
 
+MAX_REMEMBERED_IDS = 4096
+"""Ids of sent parts that a connection remembers; with more, it carries nothing new until some are forgotten."""
+
 
 class Owner(Protocol):
     """What a channel needs from the transport that it belongs to.
@@ -29,6 +33,7 @@
     names: FrameNames
     streams: int
     max_frame: int
+    part_id_retention_s: float
 
     def now_ms(self) -> float: ...
 
@@ -66,6 +71,7 @@
         self.in_flight: dict[bytes, Attempt] = {}  # written and not answered yet, by part id
         self.queued_calls: list[list[Attempt]] = []  # calls that are not written yet
         self.cancelled: OrderedDict[bytes, None] = OrderedDict()  # cancelled parts; their answers may still arrive
+        self.sent_ids = PartIdHistory(owner.part_id_retention_s, loop.time())
         self.last_call: list[Attempt] = []  # while `blocked`, its last byte may not be written
         self.last_call_bytes, self.bytes_since_call = 0, 0  # bytes of the last call; bytes written since its start
         self.blocked = False
@@ -79,12 +85,26 @@
         return len(self.in_flight) + sum(map(len, self.queued_calls))
 
     def may_receive_answer(self, part: bytes) -> bool:
-        """Whether a message about an earlier attempt for this part may still arrive here."""
-        return part in self.in_flight or part in self.cancelled
+        """Whether a message about an earlier attempt for this part may still arrive here.
+
+        It may even if that attempt was answered: nodes may send a second copy of an answer.
+        """
+        return part in self.in_flight or part in self.cancelled or part in self.sent_ids
+
+    def has_room_for(self, parts: Sequence[bytes], now: float) -> bool:
+        """Whether these parts may be sent here."""
+        self.sent_ids.expire(now)
+        return (
+            self.part_count() + len(parts) <= self.owner.streams
+            and len(self.sent_ids) < MAX_REMEMBERED_IDS
+            and not any(map(self.may_receive_answer, parts))
+        )
 
     def send(self, attempts: Sequence[Attempt]) -> None:
         """Sends attempts as one call; it is written at once if the connection accepts it."""
         self.queued_calls.append(list(attempts))
+        for attempt in attempts:
+            self.sent_ids.add(part_request(attempt).id)
         self._write_calls()
 
     def cancel(self, attempt: Attempt) -> None:
@@ -250,6 +270,9 @@
         if message.id in self.cancelled:
             del self.cancelled[message.id]
             return True
+        if message.id in self.sent_ids and self.in_flight:
+            self.owner.report_fault("second answer", f"server {self.node}: {message.id[:40]!r}")
+            return True  # frames are still in step, and the other parts are not affected
         self._fail_connection(f"received an answer for an unknown part: {message.id[:40]!r}")
         return False
 
--- a/badgerbend/frames/transport.py
+++ b/badgerbend/frames/transport.py
@@ -31,6 +31,7 @@
     connect_timeout_s: float
     idle_s: float
     stall_s: float  # a frame has to be complete this long after its first byte
+    part_id_retention_s: float  # attempts for a part that begin within this time use different connections
     max_frame: int = 65_536
 
 
@@ -51,6 +52,7 @@
     ) -> None:
         self.names, self.limits, self.address_of = names, limits, address_of
         self.streams, self.max_frame = limits.streams, limits.max_frame
+        self.part_id_retention_s = limits.part_id_retention_s
         self.on_attempt_completed, self.report_fault, self.wanted = on_attempt_completed, report_fault, wanted
         self.loop = asyncio.get_running_loop()
         self.channels: dict[int, list[Channel]] = {}
@@ -189,7 +191,7 @@
         for channel in list(self.channels.get(node, ())):
             if channel.idle() and self._is_stale(channel, now):
                 channel.drop()
-            elif channel.part_count() + len(parts) <= self.streams and not any(map(channel.may_receive_answer, parts)):
+            elif channel.has_room_for(parts, now):
                 return channel
         return None
 
--- a/badgerbend/platform/service.py
+++ b/badgerbend/platform/service.py
@@ -47,6 +47,7 @@
 KILL_MARGIN_S = 0.3  # allows for a signal that is noticed late and for the time in which the last answer is sent
 FIRST_LIST_TIMEOUT_S = 2.0  # brokers have to listen within 6 s of their start, and a slow process needs time to load
 DEFAULT_CONNECT_TIMEOUT_S = 10.0  # for opening a connection if the settings state no limit
+PART_ID_MARGIN_S = 1.0  # a second copy of an answer may arrive this long after the end of its query
 
 
 class Service:
@@ -75,6 +76,7 @@
                 connect_s,
                 settings.connection_idle_ms / 1000.0,
                 connect_s,
+                self._longest_deadline_s() + PART_ID_MARGIN_S,
                 MAX_BODY_BYTES,
             ),
             lambda node: self.directory.addresses.get(node),
@@ -144,6 +146,9 @@
         )
         return port
 
+    def _longest_deadline_s(self) -> float:
+        return max((c.deadline_ms for c in self.config.settings.classes), default=0.0) / 1000.0
+
     async def _wait_for_first_list(self) -> None:
         try:
             async with asyncio.timeout(max(self.config.drain_grace_ms / 1000.0, FIRST_LIST_TIMEOUT_S)):
@@ -197,7 +202,7 @@
         signalled_at = self.loop.time()
         self.observer.write_line("ending", open=len(self.front.open))
         await asyncio.sleep(GRACE_S)
-        longest_s = max((c.deadline_ms for c in self.config.settings.classes), default=0.0) / 1000.0
+        longest_s = self._longest_deadline_s()
         self.front.deadline = signalled_at + GRACE_S + min(longest_s, KILL_TIMEOUT_S) - KILL_MARGIN_S
         cut = await self.server.close(longest_s)
         self.watch.close()
