A served answer counts once what follows it shows that its length fits

Cause: an answer with a length that is too short decodes as a complete frame. The channel ended its attempt before it looked at the error behind it; with 1 to 3 bytes too few, or with the rest in the next read, there is no error yet.

Change: a served answer is confirmed by a valid head of a frame behind it, by the end of the connection, or by 2 ms in which nothing follows. Otherwise its attempt has failed and may have run.

--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -3,6 +3,9 @@
 While the connection is not established, or while the kernel accepts no more bytes, calls are queued here rather than in
 the buffer of asyncio's transport. So the channel knows which calls were written completely, and can take back queued
 calls when the node begins to drain.
+
+A served answer whose length is too short looks complete; only the bytes behind it show the fault. So a served answer
+ends its attempt once a valid frame follows it, or once nothing has followed it for a short time.
 """
 
 from __future__ import annotations
@@ -13,13 +16,25 @@
 from typing import Protocol, cast
 
 from badgerbend.api import Outcome
-from badgerbend.frames.codec import Decoder, FrameNames, PartAnswer, PartRequest, encode_call, encode_frame
+from badgerbend.frames.codec import (
+    ControlFrame,
+    Decoder,
+    FrameHeadError,
+    FrameNames,
+    PartAnswer,
+    PartRequest,
+    encode_call,
+    encode_frame,
+)
 from badgerbend.frames.part_ids import PartIdHistory
 from badgerbend.runtime.ports import Attempt
 
 DELAYED_MS = 1.0
 """A part written later than this after the decision counts as delayed: its client may have left in the meantime."""
 
+CONFIRMATION_S = 0.002
+"""A served answer counts if nothing has followed it for this long. The segments of one write arrive closer together."""
+
 MAX_REMEMBERED_IDS = 4096
 """Ids of sent parts that a connection remembers; with more, it carries nothing new until some are forgotten."""
 
@@ -78,6 +93,8 @@
         self.connected, self.ended = False, False
         self.last_used = loop.time()
         self.frame_started_at: float | None = None  # when the incomplete frame began to arrive
+        self._unconfirmed: PartAnswer | None = None  # a served answer; its attempt is still in flight
+        self._confirmation: asyncio.TimerHandle | None = None
 
     # -- called by the transport
     def part_count(self) -> int:
@@ -195,22 +212,39 @@
             return
         self.last_used = self.loop.time()
         for message in self.decoder.feed(data):
-            if isinstance(message, PartAnswer):
-                if not self._handle_answer(message):
-                    return
-            elif message.kind == self.owner.names.error:
-                self._fail_connection(f"the node could not decode a frame: {message.text[:80]!r}")
-                return
-            else:
-                self._fail_connection("received an answer to a probe, but none was sent")
+            if not self._confirm_answer() or not self._handle_message(message):
                 return
-        if self.decoder.error is not None:
-            self._fail_connection(str(self.decoder.error))
+        self._check_rest()
+
+    def _handle_message(self, message: PartAnswer | ControlFrame) -> bool:
+        """Handles a complete message; returns whether the connection goes on."""
+        if isinstance(message, PartAnswer):
+            if message.outcome is Outcome.OK and message.id in self.in_flight:
+                self._unconfirmed = message
+                return True
+            return self._handle_answer(message)
+        if message.kind == self.owner.names.error:
+            self._fail_connection(f"the node could not decode a frame: {message.text[:80]!r}")
+        else:
+            self._fail_connection("received an answer to a probe, but none was sent")
+        return False
+
+    def _check_rest(self) -> None:
+        """Handles what follows the last complete message: an error, the beginning of a frame, or nothing."""
+        decoder = self.decoder
+        is_error_behind_head = decoder.error is not None and not isinstance(decoder.error, FrameHeadError)
+        if (decoder.has_head or is_error_behind_head) and not self._confirm_answer():
             return
-        if not self.decoder.in_frame:
-            self.frame_started_at = None
-        elif self.frame_started_at is None:
-            self.frame_started_at = self.last_used
+        if decoder.error is not None:
+            self._fail_connection(str(decoder.error))
+            return
+        if decoder.in_frame:
+            if self.frame_started_at is None:
+                self.frame_started_at = self.last_used
+            return
+        self.frame_started_at = None
+        if self._unconfirmed is not None:
+            self._confirmation = self.loop.call_later(CONFIRMATION_S, self._confirm_if_alone)
 
     def stalled(self, now: float, limit_s: float) -> bool:
         """Fails the connection if a frame is still incomplete `limit_s` after it began."""
@@ -261,6 +295,19 @@
         self._end(Outcome.RESET)
         self.close()
 
+    def _confirm_answer(self) -> bool:
+        """Ends the attempt of the answer that waits for its confirmation; returns whether the connection goes on."""
+        if self._confirmation is not None:
+            self._confirmation.cancel()
+            self._confirmation = None
+        message, self._unconfirmed = self._unconfirmed, None
+        return message is None or self._handle_answer(message)
+
+    def _confirm_if_alone(self) -> None:
+        self._confirmation = None
+        if not self.decoder.in_frame:
+            self._confirm_answer()
+
     def _handle_answer(self, message: PartAnswer) -> bool:
         attempt = self.in_flight.pop(message.id, None)
         if attempt is not None:
@@ -283,9 +330,14 @@
         self.close()
 
     def _end(self, outcome: Outcome) -> None:
+        if not self.ended and outcome is not Outcome.ERROR and not self.decoder.in_frame:
+            self._confirm_answer()  # the connection ended right behind the answer
         if self.ended:
             return
         self.ended = True
+        self._unconfirmed = None
+        if self._confirmation is not None:
+            self._confirmation.cancel()
         # If bytes are left above the kernel and the last call was written last, that call was not sent completely. If a
         # cancellation was written after the call, the remaining bytes may belong to the cancellation alone.
         cut_short = self.blocked and self.bytes_since_call == self.last_call_bytes
--- a/badgerbend/frames/codec.py
+++ b/badgerbend/frames/codec.py
@@ -21,6 +21,10 @@
     """The bytes received are not a valid frame, so nothing after them on the connection can be decoded."""
 
 
+class FrameHeadError(FrameError):
+    """No frame can begin where the previous one ended, so the length of that one may be wrong as well."""
+
+
 @dataclass(frozen=True, slots=True)
 class FrameNames:
     """The kinds of frames, the outcomes of an answer and the option keys of a part, as bytes."""
@@ -101,6 +105,11 @@
         """Whether part of a frame has been received."""
         return bool(self.buffer)
 
+    @property
+    def has_head(self) -> bool:
+        """Whether a valid length and kind of an incomplete frame have been received."""
+        return len(self.buffer) >= HEAD
+
     def discard(self) -> None:
         """Drops what was received of an incomplete frame."""
         self.buffer = bytearray()
@@ -117,12 +126,12 @@
             while end - offset >= LENGTH.size:
                 (size,) = LENGTH.unpack_from(buffer, offset)
                 if not 1 <= size <= self.max_frame:
-                    raise FrameError(f"frame length {size} is out of range; the maximum is {self.max_frame} bytes")
+                    raise FrameHeadError(f"frame length {size} is out of range; the maximum is {self.max_frame} bytes")
                 if end - offset < HEAD:
                     break
                 kind = buffer[offset + LENGTH.size]
                 if kind not in self._known_kinds:
-                    raise FrameError(f"unknown frame kind {kind:#04x}")
+                    raise FrameHeadError(f"unknown frame kind {kind:#04x}")
                 if end - offset < LENGTH.size + size:
                     if kind == self._answer_kind:
                         self._check_partial_answer(offset + HEAD, end)
