Input that waits is kept in the pieces in which it was read

What operators saw: memory grows while one client sends small or unsound requests on one connection at full speed.

Cause: input that waited was one bytearray. It was copied as it grew, and again once its beginning was used up, so that the process held several copies of what the budget counted once.

Change: pieces stay as they were read and are counted as long as they are held; small ones are joined.

--- a/badgerbend/net/http_connection.py
+++ b/badgerbend/net/http_connection.py
@@ -84,7 +84,7 @@
         size = self._waiting_request_bytes
         if self.receiving:
             size += self._parser.partial_size
-        return size + len(self.unparsed) if self.unparsed else size
+        return size + self.unparsed.held_bytes if self.unparsed else size
 
     def receive(self, data: bytes, received_at: float, earliest_at: float) -> None:
         """Takes bytes, if input is accepted. The last was received at the first time, others not before the second."""
--- a/tests/memory_clients.py
+++ b/tests/memory_clients.py
@@ -19,6 +19,8 @@
 HEAD_BYTES = 15_000  # a head may hold 16,384 bytes
 AT_ONCE = 100  # requests that are sent without waiting for an answer
 RECONNECT_S = 0.01
+SLOW_SEND_S = 1.8  # less than the time that a request may take to arrive
+FIELDS = 92  # of a head, beside the usual ones; it may hold 100
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets the connection
 _numbers = itertools.count()
 
@@ -220,6 +222,81 @@
         await client.send(b"8000\r\n" + b"z" * 0x8000 + b"\r\n")
 
 
+async def _in_pieces(client, data, size):
+    """Sends data in small pieces with pauses; it takes about `SLOW_SEND_S`, and the last byte is never sent."""
+    reading = asyncio.ensure_future(client.read_to_end())
+    pause_s = SLOW_SEND_S * size / len(data)
+    for at in range(0, len(data) - 1, size):
+        if reading.done():
+            break
+        await client.send(data[at : min(at + size, len(data) - 1)])
+        await asyncio.sleep(pause_s)
+    await reading
+
+
+async def slow_body(client):
+    await _in_pieces(client, with_length(large_body()), 1000)
+
+
+async def slow_tiny_chunks(client):
+    await _in_pieces(client, chunked(large_body()[:10_000], 2), 1000)
+
+
+async def slow_body_behind_requests(client):
+    await client.send(with_length(query([1, 2])))
+    await _in_pieces(client, with_length(large_body()), 1000)
+
+
+async def slow_short_fields(client):
+    """Sends a head of as many short fields as are accepted, in small pieces."""
+    await _in_pieces(client, head(b"A: b", small_headers(FIELDS)), 20)
+
+
+async def slow_and_whole(client):
+    """Sends valid large requests slowly, and waits for each answer."""
+    body = large_body()
+    while True:
+        data = with_length(body)
+        for at in range(0, len(data), 4000):
+            await client.send(data[at : at + 4000])
+            await asyncio.sleep(0.05)
+        await read_answer(client.reader)
+
+
+async def half_short_fields(client):
+    await client.send(head(b"A: b", small_headers(FIELDS))[:-4])
+    await client.read_to_end()
+
+
+async def half_repeated_fields(client):
+    """Stops within a head of fields that all have the same name."""
+    await client.send(head(b"A: b", b"a:" + b"y" * 100 + b"\r\n" + b"a:\r\n" * (FIELDS - 1))[:-4])
+    await client.read_to_end()
+
+
+async def pipelined_short_fields(client):
+    """Sends many requests of as many short fields as are accepted."""
+    body, extra = query([1, 2]), small_headers(FIELDS)
+    await client.send_many(lambda: with_length(body, extra=extra))
+
+
+async def short_fields_behind_request(client):
+    body, extra = query([1, 2]), small_headers(FIELDS)
+    await client.send(with_length(body) + with_length(body, extra=extra) * 6 + head(b"A: b", extra)[:-4])
+    await client.read_to_end()
+
+
+async def half_body_behind_short_fields(client):
+    await client.send(head(b"Content-Length: 60000", small_headers(FIELDS)) + b"z" * 59_000)
+    await client.read_to_end()
+
+
+async def growing_halves(client):
+    """Stops within a body whose size differs from connection to connection, so that memory is reused badly."""
+    await client.send(with_length(large_body())[: 200 + next(_numbers) * 977 % 59_000])
+    await client.read_to_end()
+
+
 async def silent(client):
     await client.read_to_end()
 
@@ -248,6 +325,17 @@
         reads_no_values,
         huge_body,
         huge_chunked_body,
+        slow_body,
+        slow_tiny_chunks,
+        slow_body_behind_requests,
+        slow_short_fields,
+        slow_and_whole,
+        half_short_fields,
+        half_repeated_fields,
+        pipelined_short_fields,
+        short_fields_behind_request,
+        half_body_behind_short_fields,
+        growing_halves,
         silent,
     )
 }
--- a/tests/memory_faults.py
+++ b/tests/memory_faults.py
@@ -153,6 +153,27 @@
         writer.close()
 
 
+# Memory, descriptors and clients. A broker accepts 0.55 times its descriptors of connections.
+CROWDS = ((32, 256, 300), (32, 1024, 600), (88, 576, 300), (192, 1024, 600))
+CROWD_FORMS = (
+    "slow_body",
+    "slow_tiny_chunks",
+    "slow_body_behind_requests",
+    "slow_short_fields",
+    "slow_and_whole",
+    "half_body",
+    "half_tiny_chunks",
+    "half_small_headers",
+    "half_short_fields",
+    "half_repeated_fields",
+    "half_body_behind_requests",
+    "half_body_behind_short_fields",
+    "growing_halves",
+    "pipelined_small_headers",
+    "pipelined_short_fields",
+    "short_fields_behind_request",
+    "silent",
+)
 CASES = {
     "usual clients alone": Case(clients=0),
     **{form: Case(form) for form in FORMS},
@@ -189,6 +210,13 @@
             ("pipelined_small", "half_frames"),
         )
     },
+    **{
+        f"crowd of {clients}, {form}, {memory_mb} MB, {descriptors}": Case(
+            form, clients, limits=limits(memory_mb, descriptors)
+        )
+        for memory_mb, descriptors, clients in CROWDS
+        for form in CROWD_FORMS
+    },
     "pipelined_small, half frames": Case("pipelined_small", 150, "half_frames"),
     "pipelined_small, endless values": Case("pipelined_small", 150, "endless_values"),
 }
