A lost connection leaves no reference cycle behind

What operators saw: hundreds of clients that write slowly or stop half way bring a process over its memory.

Cause: a socket transport of asyncio keeps its own bound method, so that 7 objects of each ended connection wait for the garbage collector, which this process makes rare.

Change: the cycle is broken when a connection of the HTTP server or client is lost.

--- a/badgerbend/net/client_connection.py
+++ b/badgerbend/net/client_connection.py
@@ -10,6 +10,7 @@
 from badgerbend.net.calls import Call, CallResult, Reply
 from badgerbend.net.pool_limits import PoolLimits
 from badgerbend.net.request_parser import HEADER_OVERHEAD_BYTES, MAX_HEADERS
+from badgerbend.net.transport_cycle import break_reference_cycle
 
 MAX_HEAD_BYTES = 65_536  # of a response, or of what else comes without content
 
@@ -51,6 +52,7 @@
         self.pool.open.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        break_reference_cycle(self.transport)
         self.transport = None
         del self.parser  # breaks the reference cycle; else connections stay until the garbage collector runs
         self._reset_answer()  # the call of an aborted poll may refer to this connection for longer
--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -21,6 +21,7 @@
 from badgerbend.net.responses import Headers
 from badgerbend.net.server_interface import Server
 from badgerbend.net.socket_events import has_unread_input, peer_has_left
+from badgerbend.net.transport_cycle import break_reference_cycle
 
 CLOSING = State.CLOSING
 EXPIRY_MARGIN_S = 0.005  # between the refusal of a request that waits and the end of its client's time
@@ -70,6 +71,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.remove(self)
+        break_reference_cycle(self.transport)
         self.transport = None
         self.server.lingering -= self.lingering
         if self.discarded is not None:
--- a/badgerbend/net/unparsed_input.py
+++ b/badgerbend/net/unparsed_input.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass
 
 SMALL_BYTES = 4096  # smaller pieces are joined, as each takes memory of its own
@@ -26,7 +25,7 @@
     __slots__ = ("_arrivals", "_offset", "_pieces", "_size")
 
     def __init__(self) -> None:
-        self._pieces: deque[bytes | bytearray] = deque()
+        self._pieces: list[bytes | bytearray] = []
         self._offset = 0  # of the first byte in the first piece
         self._size = 0
         self._arrivals: list[_Arrival] = []
@@ -62,7 +61,7 @@
         self._size -= size
         self._offset += size
         if self._offset == len(piece):
-            self._pieces.popleft()
+            del self._pieces[0]
             self._offset = 0
         arrival.size -= size
         if not arrival.size:
