The work of a turn is bounded, and connections that flood share a bounded time

Cause: input was bounded in bytes and not in work. A read of 256 KB was parsed at once, which takes 30 to 50 ms in chunks of one byte. Every connection with requests that wait had a turn in each iteration of the event loop.

The timer of requests that wait is a class of its own.

--- a/badgerbend/net/http_connection.py
+++ b/badgerbend/net/http_connection.py
@@ -18,6 +18,7 @@
 from badgerbend.net.unparsed_input import UnparsedInput
 
 MAX_PARSED_AHEAD = 64  # requests; further input stays unparsed
+MAX_PARSE_WORK = 500  # in one call, in the units of the parser; a fraction of a millisecond
 PARSE_CHUNK_BYTES = 2048  # parsed at a time: a few requests
 OUT_OF_MEMORY = Rejection(503, b"too much input is held")
 OUT_OF_TIME = Rejection(503, b"no time is left")
@@ -84,21 +85,34 @@
         size = self._waiting_request_bytes
         if self.receiving:
             size += self._parser.partial_size
-        return size + self.unparsed.held_bytes if self.unparsed else size
+        return size + self.unparsed.held_bytes if self.unparsed.size else size
 
     def receive(self, data: bytes, received_at: float, earliest_at: float) -> None:
         """Takes bytes, if input is accepted. The last was received at the first time, others not before the second."""
-        if not self.accepts_input:
-            return
-        if self.unparsed or len(data) > PARSE_CHUNK_BYTES:
-            self.unparsed.append(data, earliest_at)
+        if self.unparsed.size:
+            self.hold(data, earliest_at)
+        elif len(data) > PARSE_CHUNK_BYTES:
+            self.hold(data, earliest_at)
             self.parse_ahead()
-        else:
+        elif self.accepts_input:
             self._parse(data, received_at, earliest_at)
 
+    def hold(self, data: bytes, earliest_at: float) -> None:
+        """Takes bytes, if input is accepted, that are parsed later."""
+        if self.accepts_input:
+            self.unparsed.append(data, earliest_at)
+            self.receiving = True
+
+    @property
+    def can_parse_ahead(self) -> bool:
+        """Whether input waits that may be parsed now."""
+        return self.unparsed.size > 0 and len(self.waiting) < MAX_PARSED_AHEAD
+
     def parse_ahead(self) -> None:
-        """Parses waiting input until enough requests are parsed."""
-        while self.unparsed and len(self.waiting) < MAX_PARSED_AHEAD:
+        """Parses waiting input until enough requests are parsed, or enough work is done for one call."""
+        parser = self._parser
+        work_limit = parser.work + MAX_PARSE_WORK
+        while self.can_parse_ahead and parser.work < work_limit:
             data, earliest_at = self.unparsed.take(PARSE_CHUNK_BYTES)
             self._parse(data, earliest_at, earliest_at)
 
@@ -111,7 +125,7 @@
             if not request.keep_alive:
                 self._drop_input()
                 return
-        self.receiving = parser.in_request if requests else True
+        self.receiving = parser.in_request or not requests or self.unparsed.size > 0
         if parser.error is not None:
             self.reject(parser.error)
 
@@ -140,7 +154,7 @@
     @property
     def has_more(self) -> bool:
         """Whether anything follows the request that is being served."""
-        return bool(self.waiting or self.unparsed) or self.rejection is not None
+        return bool(self.waiting or self.unparsed.size) or self.rejection is not None
 
     def next_request(self) -> Request | None:
         """Begins the request that has waited longest, if one may begin and is not refused.
--- a/badgerbend/net/request_parser.py
+++ b/badgerbend/net/request_parser.py
@@ -14,6 +14,7 @@
 MAX_HEADERS = 100  # of one request
 HEADER_OVERHEAD_BYTES = 200  # that a header takes in memory beside its name and value
 REQUEST_OVERHEAD_BYTES = 1_000  # that a request takes in memory beside its headers and body
+REQUEST_WORK = 16  # what a complete request costs, in units of the cost of a header or of a piece of a body
 SINGLE_HEADERS = frozenset({b"host", b"content-length", b"transfer-encoding"})
 
 
@@ -57,6 +58,9 @@
     """Parses the requests of one connection. After an error, which is kept in `error`, it accepts no more input.
 
     in_request: a request has begun and is not complete. expects_continue: its client waits for a 100 response.
+    work: an estimate of the processor time that was used, in units of the cost of a header or of a piece of a body;
+    headers count once their request is complete. The same number of bytes may cost little or, in tiny chunks, a hundred
+    times as much.
     """
 
     __slots__ = (
@@ -74,11 +78,13 @@
         "error",
         "expects_continue",
         "in_request",
+        "work",
     )
 
     def __init__(self, max_head_bytes: int, max_body_bytes: int) -> None:
         self.error: Rejection | None = None
         self.in_request = self.expects_continue = False
+        self.work = 0
         self._max_head_bytes, self._max_body_bytes = max_head_bytes, max_body_bytes
         self._parser = httptools.HttpRequestParser(self)
         self._completed: list[Request] = []
@@ -107,6 +113,7 @@
         if self.error is not None:
             return []
         self._bytes_without_content += len(data)
+        self.work += 1
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as err:
@@ -163,11 +170,13 @@
 
     def on_body(self, body: bytes) -> None:
         self._bytes_without_content = 0
+        self.work += 1
         if len(self._body) + len(body) > self._max_body_bytes:
             self._reject(413, b"body too large")
         self._body += body
 
     def on_message_complete(self) -> None:
+        self.work += REQUEST_WORK + self._header_count
         size = REQUEST_OVERHEAD_BYTES + self._head_size() + len(self._body)
         keep_alive = self._parser.should_keep_alive()
         request = Request(self._parser.get_method(), self._target, self._headers, bytes(self._body), keep_alive, size)
--- a/badgerbend/net/server.py
+++ b/badgerbend/net/server.py
@@ -20,6 +20,7 @@
 from badgerbend.net.server_connection import ServerConnection
 from badgerbend.net.server_limits import ServerLimits
 from badgerbend.net.socket_events import has_unread_input
+from badgerbend.net.turn_queue import TurnQueue
 
 SWEEP_INTERVAL_S = 0.5  # between checks for slow readers and idle connections
 
@@ -37,6 +38,7 @@
         self.closing = False
         self.rejected_connections = self.lingering = 0
         self.memory = MemoryBudget(limits.max_memory_bytes, limits.max_connections)
+        self.turns = TurnQueue()
         self.address = ("", 0)  # set by `start`
         self._listener: Listener | None = None
         self._awake: AwakeTimes | None = None
--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -14,6 +14,7 @@
 from badgerbend.net.connection_states import State
 from badgerbend.net.discarded_input import DiscardedInput
 from badgerbend.net.exchange import Exchange
+from badgerbend.net.expiry_timer import EXPIRY_MARGIN_S, ExpiryTimer
 from badgerbend.net.http_connection import OUT_OF_MEMORY, HttpConnection
 from badgerbend.net.memory_budget import MemoryShare
 from badgerbend.net.receive_delay import receive_delay_s
@@ -22,9 +23,9 @@
 from badgerbend.net.server_interface import Server
 from badgerbend.net.socket_events import has_unread_input, peer_has_left
 from badgerbend.net.transport_cycle import break_reference_cycle
+from badgerbend.net.turn_queue import Priority
 
 CLOSING = State.CLOSING
-EXPIRY_MARGIN_S = 0.005  # between the refusal of a request that waits and the end of its client's time
 
 
 class ServerConnection(asyncio.Protocol):
@@ -32,8 +33,8 @@
 
     __slots__ = (
         "_expiry",
-        "_expiry_at",
         "_in_handler",
+        "_sent_invalid",
         "_turn_scheduled",
         "active",
         "discarded",
@@ -56,10 +57,10 @@
         self.write_blocked_since: float | None = None
         self.discarded: DiscardedInput | None = None  # set once input was discarded
         self.memory = MemoryShare(server.memory, self._shed_waiting)
-        self._turn_scheduled = False  # the next request is served in the next iteration of the event loop
+        self._turn_scheduled = False  # the next request is served in the connection's next turn
+        self._sent_invalid = False  # the client has sent an invalid request
         self._in_handler = False  # a response that is written now was made without waiting
-        self._expiry: asyncio.TimerHandle | None = None  # of the time of a request that waits
-        self._expiry_at = math.inf
+        self._expiry: ExpiryTimer | None = None  # for requests that wait
 
     # -- callbacks of asyncio
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -78,6 +79,7 @@
             self.discarded.cancel_timer()
         if self._expiry is not None:
             self._expiry.cancel()
+            self._expiry = None  # it refers to this connection
         self.http.connection_lost()
         self.memory.release()
         lost, self.active = self.active, None
@@ -91,7 +93,11 @@
             return
         was_receiving, now = http.receiving, self.loop.time()
         received_at = now - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
-        http.receive(data, received_at, min(received_at, self.server.awake_at))
+        earliest_at = min(received_at, self.server.awake_at)
+        if self._sent_invalid:
+            http.hold(data, earliest_at)
+        else:
+            http.receive(data, received_at, earliest_at)
         if http.received_requests != count or (not was_receiving and count):
             self.phase_started_at = now
         self._advance()
@@ -110,21 +116,36 @@
 
     # -- requests
     def _schedule_turn(self) -> None:
-        """Lets the next request be served in the next iteration of the event loop, after other connections' events."""
+        """Lets input be parsed and the next request be served in a later iteration of the event loop."""
         if not self._turn_scheduled:
             self._turn_scheduled = True
-            self.loop.call_soon(self._take_turn)
+            self.server.turns.add(self, self._priority())
 
-    def _take_turn(self) -> None:
+    def _priority(self) -> Priority:
+        if self._sent_invalid:
+            return Priority.INVALID
+        return Priority.WAITING if self.http.has_more else Priority.PROMPT
+
+    def take_turn(self) -> None:
+        """Parses some of the input that waits, and serves the next request."""
         self._turn_scheduled = False
-        if self.transport is not None:
-            self.http.parse_ahead()
-            self._advance()
-            self._after_parsing()
+        if self.transport is None:
+            return
+        count = self.http.received_requests
+        self.http.parse_ahead()
+        if self.http.received_requests != count:
+            self.phase_started_at = self.loop.time()
+        self._advance()
+        self._after_parsing()
 
     def _advance(self) -> None:
+        """Serves the next request, unless a turn is to come."""
+        if not self._turn_scheduled:
+            self._serve_next()
+
+    def _serve_next(self) -> None:
         """Serves the next request. What needs no handler is written first: it belongs to earlier ones, or ends."""
-        if self._turn_scheduled or self.active is not None or self.transport is None:
+        if self.active is not None or self.transport is None:
             return
         request = self.http.next_request()
         if request is None:
@@ -154,19 +175,19 @@
     def _after_parsing(self) -> None:
         """Reports what waits now, and when the first that waits expires."""
         self._report_waiting()
-        if self.http.earliest_answer_by < self._expiry_at:
-            if self._expiry is not None:
-                self._expiry.cancel()
-            self._expiry_at = self.http.earliest_answer_by
-            self._expiry = self.loop.call_at(self._expiry_at - EXPIRY_MARGIN_S, self._expire)
+        if self.http.can_parse_ahead:
+            self._schedule_turn()
+        if self.http.earliest_answer_by < math.inf:
+            if self._expiry is None:
+                self._expiry = ExpiryTimer(self.loop, self._expire)
+            self._expiry.set_earliest(self.http.earliest_answer_by)
 
     def _expire(self) -> None:
         """Refuses the requests whose time is nearly over, and ends the one that they wait for."""
-        self._expiry, self._expiry_at = None, math.inf
         if self.http.refuse_expired(self.loop.time() + EXPIRY_MARGIN_S):
             if self.active is not None:
                 self.active.expire()
-            self._advance()
+            self._serve_next()
         self._after_parsing()
 
     # -- responses
@@ -174,6 +195,7 @@
         if self.transport is None:
             return
         self.active = None
+        self._sent_invalid = self._sent_invalid or 400 <= status < 500
         self._write(self.http.respond(status, body, content_type, extra, self._ends_idle()))
         if self._in_handler or self.http.has_more or self.http.receiving:
             self._schedule_turn()
--- a/badgerbend/net/unparsed_input.py
+++ b/badgerbend/net/unparsed_input.py
@@ -22,25 +22,25 @@
     The pieces are kept as they were read: one buffer would be copied as it grows, and again as it is used up.
     """
 
-    __slots__ = ("_arrivals", "_offset", "_pieces", "_size")
+    __slots__ = ("_arrivals", "_offset", "_pieces", "size")
 
     def __init__(self) -> None:
         self._pieces: list[bytes | bytearray] = []
         self._offset = 0  # of the first byte in the first piece
-        self._size = 0
+        self.size = 0  # bytes that wait
         self._arrivals: list[_Arrival] = []
 
     def __len__(self) -> int:
-        return self._size
+        return self.size
 
     @property
     def held_bytes(self) -> int:
         """The memory that the pieces take; what has been taken of the first one is held with it."""
-        return self._size + self._offset
+        return self.size + self._offset
 
     def append(self, data: bytes, received_at: float) -> None:
         """Adds bytes, of which the last was received at the given time."""
-        self._size += len(data)
+        self.size += len(data)
         last = self._pieces[-1] if self._pieces else None
         if len(data) >= SMALL_BYTES:
             self._pieces.append(data)
@@ -58,7 +58,7 @@
         arrival, piece = self._arrivals[0], self._pieces[0]
         size = min(max_bytes, arrival.size, len(piece) - self._offset)
         data = bytes(piece[self._offset : self._offset + size])
-        self._size -= size
+        self.size -= size
         self._offset += size
         if self._offset == len(piece):
             del self._pieces[0]
@@ -72,4 +72,4 @@
         """Drops everything."""
         self._pieces.clear()
         self._arrivals.clear()
-        self._offset = self._size = 0
+        self._offset = self.size = 0
