No attempt begins while the end of a connection may lie behind unread input

Cause: while a socket has unread input, poll cannot tell whether the peer has left, and the broker took that for being there. Reading takes longer than 0.1 s when a crowd sends megabytes.

Change: a connection notes when its socket was last read empty. 50 ms later, requests with more input behind them wait for the rest to be read, or are refused where further input is rejected, and no further attempt is made for the open one.

--- a/badgerbend/net/exchange.py
+++ b/badgerbend/net/exchange.py
@@ -27,6 +27,9 @@
     def abort_if_peer_left(self) -> bool:
         """Aborts the connection if the peer has closed or reset it; returns whether it has."""
 
+    def may_hide_end(self) -> bool:
+        """Whether the peer may have left unnoticed: it has sent more than is accepted, and not all of it was read."""
+
     def abort(self) -> None:
         """Closes the connection without sending what is unsent."""
 
@@ -91,6 +94,10 @@
         """Whether the peer has closed the connection, read or not yet; if so, the connection is aborted."""
         return self.disconnected or self._connection.abort_if_peer_left()
 
+    def client_may_have_left(self) -> bool:
+        """Whether the end of the connection may lie behind input that is not accepted and not read yet."""
+        return self._connection.may_hide_end()
+
     def reserve(self, size: int) -> bool:
         """Counts further memory that is held for this request until its response. Returns False if there is none."""
         return not self.disconnected and self._connection.active is self and self._connection.reserve(size)
--- a/badgerbend/net/http_connection.py
+++ b/badgerbend/net/http_connection.py
@@ -21,6 +21,7 @@
 MAX_PARSE_WORK = 500  # in one call, in the units of the parser; a fraction of a millisecond
 PARSE_CHUNK_BYTES = 2048  # parsed at a time: a few requests
 OUT_OF_MEMORY = Rejection(503, b"too much input is held")
+UNREAD_INPUT = Rejection(503, b"too much input is unread")
 OUT_OF_TIME = Rejection(503, b"no time is left")
 
 # Members of an enumeration are slow to look up in its class.
@@ -156,6 +157,13 @@
         """Whether anything follows the request that is being served."""
         return bool(self.waiting or self.unparsed.size) or self.rejection is not None
 
+    @property
+    def has_input_behind_next(self) -> bool:
+        """Whether a request may begin, and more has been received than that request."""
+        if not self.waiting or self.waiting[0].refusal is not None:
+            return False
+        return len(self.waiting) > 1 or self.receiving or self.rejection is not None
+
     def next_request(self) -> Request | None:
         """Begins the request that has waited longest, if one may begin and is not refused.
 
@@ -173,9 +181,13 @@
 
     def refuse_waiting(self, refusal: Rejection) -> None:
         """Refuses all requests that wait, in their order, and the input behind them."""
-        self._refuse_first(len(self.waiting), refusal)
+        self.refuse_parsed(refusal)
         self.reject(refusal)
 
+    def refuse_parsed(self, refusal: Rejection) -> None:
+        """Refuses all requests that wait, in their order."""
+        self._refuse_first(len(self.waiting), refusal)
+
     def refuse_expired(self, now: float) -> bool:
         """Refuses the waiting requests up to the last whose time is over; returns whether there are any.
 
--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -15,7 +15,7 @@
 from badgerbend.net.discarded_input import DiscardedInput
 from badgerbend.net.exchange import Exchange
 from badgerbend.net.expiry_timer import EXPIRY_MARGIN_S, ExpiryTimer
-from badgerbend.net.http_connection import OUT_OF_MEMORY, HttpConnection
+from badgerbend.net.http_connection import OUT_OF_MEMORY, UNREAD_INPUT, HttpConnection
 from badgerbend.net.memory_budget import MemoryShare
 from badgerbend.net.receive_delay import receive_delay_s
 from badgerbend.net.request_parser import Rejection
@@ -26,12 +26,15 @@
 from badgerbend.net.turn_queue import Priority
 
 CLOSING = State.CLOSING
+FULL_READ_BYTES = 65_536  # a read of fewer bytes leaves nothing unread, as an event loop reads more than that at a time
+MAX_HIDDEN_END_S = 0.05  # no request begins for a client that may have left longer ago; it must not after 0.1 s
 
 
 class ServerConnection(asyncio.Protocol):
     """A connection of a client; it is created by its server."""
 
     __slots__ = (
+        "_drained_at",
         "_expiry",
         "_in_handler",
         "_sent_invalid",
@@ -59,6 +62,7 @@
         self.memory = MemoryShare(server.memory, self._shed_waiting)
         self._turn_scheduled = False  # the next request is served in the connection's next turn
         self._sent_invalid = False  # the client has sent an invalid request
+        self._drained_at = min(loop.time(), server.awake_at)  # when the socket had no more input than was read
         self._in_handler = False  # a response that is written now was made without waiting
         self._expiry: ExpiryTimer | None = None  # for requests that wait
 
@@ -88,10 +92,13 @@
 
     def data_received(self, data: bytes) -> None:
         http, count = self.http, self.http.received_requests
+        now = self.loop.time()
+        if len(data) < FULL_READ_BYTES:
+            self._drained_at = now
         if not http.accepts_input:
             self._discarded_input().discard(len(data))
             return
-        was_receiving, now = http.receiving, self.loop.time()
+        was_receiving = http.receiving
         received_at = now - (receive_delay_s(self.transport) if self.transport is not None else 0.0)
         earliest_at = min(received_at, self.server.awake_at)
         if self._sent_invalid:
@@ -147,6 +154,11 @@
         """Serves the next request. What needs no handler is written first: it belongs to earlier ones, or ends."""
         if self.active is not None or self.transport is None:
             return
+        if self.http.has_input_behind_next and self._may_hide_end():
+            if self.http.accepts_input:
+                self._schedule_turn()  # the end of the connection may lie behind what is read next
+                return
+            self.http.refuse_parsed(UNREAD_INPUT)
         request = self.http.next_request()
         if request is None:
             output = self.http.output_without_handler(self._ends_idle())
@@ -262,6 +274,15 @@
         self.abort()
         return True
 
+    def may_hide_end(self) -> bool:
+        """Whether the peer may have left unnoticed: it has sent more than is accepted, and not all of it was read."""
+        return self.discarded is not None and self._may_hide_end()
+
+    def _may_hide_end(self) -> bool:
+        """Whether the end of the connection may have waited behind unread input for longer than is harmless."""
+        is_recent = self.loop.time() - self._drained_at < MAX_HIDDEN_END_S
+        return not is_recent and has_unread_input(self.transport)
+
     # -- idle and slow peers
     def has_unsent_data(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -187,7 +187,13 @@
         return True
 
     def client_has_left(self) -> bool:
-        return self.exchange.client_has_left()
+        """Whether the client has left. If that can't be known, the request ends now: no attempt may begin for it."""
+        if self.exchange.client_has_left():
+            return True
+        if not self.exchange.client_may_have_left():
+            return False
+        self.expired()
+        return True
 
     def follow_up_parts(self, results: Sequence[tuple[PartPlan, object]]) -> Sequence[PartPlan]:
         return ()
--- a/tests/broker_process.py
+++ b/tests/broker_process.py
@@ -62,8 +62,8 @@
     sent_at: float = field(default=0.0)
 
 
-def request(name, parts=(1, 2, 3), service_class="quote", deadline_ms=3000, key="k1"):
-    body = query(parts)
+def request(name, parts=(1, 2, 3), service_class="quote", deadline_ms=3000, key="k1", text="c41e77d0"):
+    body = query(parts, text)
     head = (
         f"POST /{service_class}/abc HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {name}\r\n"
         f"X-Service-Class: {service_class}\r\nX-Account: {ACCOUNT}\r\nX-Time-Left-Ms: {deadline_ms}\r\n"
