An id that may have run and may not run twice is not run again

What callers saw: an id ran twice when it came again after its client had left.

Cause: the registry of ids knew open requests only; the end of a request was taken for the end of its effects.

A request of a safe class that comes again is served as before, and so is one that was refused.

Change: ids of classes that are not safe are remembered for 60 s once an attempt was made and the request has ended, 20,000 at most, and answered 409. RecentIds, which keeps them, is the class that connections to nodes use for part ids.

--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -26,7 +26,7 @@
     encode_call,
     encode_frame,
 )
-from badgerbend.frames.part_ids import PartIdHistory
+from badgerbend.frames.recent_ids import RecentIds
 from badgerbend.runtime.ports import Attempt
 
 DELAYED_MS = 1.0
@@ -86,7 +86,7 @@
         self.in_flight: dict[bytes, Attempt] = {}  # written and not answered yet, by part id
         self.queued_calls: list[list[Attempt]] = []  # calls that are not written yet
         self.cancelled: OrderedDict[bytes, None] = OrderedDict()  # cancelled parts; their answers may still arrive
-        self.sent_ids = PartIdHistory(owner.part_id_retention_s, loop.time())
+        self.sent_ids = RecentIds(owner.part_id_retention_s, loop.time())
         self.last_call: list[Attempt] = []  # while `blocked`, its last byte may not be written
         self.last_call_bytes, self.bytes_since_call = 0, 0  # bytes of the last call; bytes written since its start
         self.blocked = False
@@ -104,7 +104,8 @@
     def may_receive_answer(self, part: bytes) -> bool:
         """Whether a message about an earlier attempt for this part may still arrive here.
 
-        It may even if that attempt was answered: nodes may send a second copy of an answer.
+        All attempts for a part have the same id. Nodes may send a second copy of an answer, so an answer to one attempt
+        can't be told from a copy of the answer to an earlier one.
         """
         return part in self.in_flight or part in self.cancelled or part in self.sent_ids
 
--- a/badgerbend/platform/front.py
+++ b/badgerbend/platform/front.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from badgerbend.frames.codec import PartRequest
+from badgerbend.frames.recent_ids import RecentIds
 from badgerbend.net.exchange import Exchange
 from badgerbend.net.request_parser import Request
 from badgerbend.net.responses import Headers
@@ -28,6 +29,8 @@
 TOKEN = re.compile(r"[0-9A-Fa-f]{16}").fullmatch
 MAX_TIME_LEFT_DIGITS = 9  # in milliseconds: eleven days
 MAX_BODY_BYTES = 65_536  # of a request, of an answer and therefore of its values
+USED_ID_RETENTION_S = 60.0
+MAX_USED_IDS = 20_000  # beyond it, the older half is forgotten earlier
 WEIGHT_TOLERANCE = 1e-3  # clients send rounded weights
 _encode = msgspec.json.encode
 
@@ -65,6 +68,8 @@
         self.tenants = {name.encode(): i for i, name in enumerate(config.tenants)}
         self.settings = config.settings
         self.open: dict[bytes, _OpenRequest] = {}
+        # Ids of requests that have ended and may have run, of classes that are not safe to repeat.
+        self.used_ids = RecentIds(USED_ID_RETENTION_S, self.loop.time())
         self.rejected = 0
         self.deadline = math.inf  # on the event loop's clock: all requests have to be answered by then
 
@@ -135,17 +140,26 @@
         )
 
     def _check_id_is_free(self, request_id: bytes) -> None:
-        """Raises Rejected for the id of an open request.
+        """Raises Rejected for the id of an open request, and for one that may have run and may not run twice.
 
         A client whose connection broke sends the same request again on another connection, perhaps before the end of
         the first connection was read here. In that case the first request ends now.
         """
         pending = self.open.get(request_id)
-        if pending is None:
-            return
-        if not pending.client_has_left():
-            raise Rejected(409, "a request with this id is open")
-        pending.client_disconnected()
+        if pending is not None:
+            if not pending.client_has_left():
+                raise Rejected(409, "a request with this id is open")
+            pending.client_disconnected()
+        if request_id in self.used_ids:
+            raise Rejected(409, "a request with this id may have run")
+
+    def remember_id(self, request_id: bytes) -> None:
+        """Remembers the id of a request that has ended and may not run again."""
+        now = self.loop.time()
+        self.used_ids.expire(now)
+        if len(self.used_ids) >= MAX_USED_IDS:
+            self.used_ids.forget_older(now)
+        self.used_ids.add(request_id)
 
     def _parts(self, raw: bytes, request_id: bytes, key: bytes | None) -> list[PartPlan]:
         try:
@@ -204,6 +218,7 @@
             for plan, value in results
         )
         complete_json = b"true" if complete else b"false"
+        self._remember_id()
         self._end(200, b'{"%s":%s,"%s":[%s]}' % (names.COMPLETE, complete_json, names.RESULTS, results_json), JSON)
 
     def rejected(self, retry_after_ms: float) -> None:
@@ -211,6 +226,7 @@
         self._end(503, b"refused; nothing is lost by asking again\n", TEXT, retry_header)
 
     def failed(self) -> None:
+        self._remember_id()
         self._end(502, b"failed; parts of it may have run\n", TEXT)
 
     def expired(self) -> None:
@@ -226,8 +242,14 @@
         self.exchange.on_disconnect = self.exchange.on_expiry = None
         self.front.open.pop(self.request_id, None)
         if self.query_id is not None:
+            if self.front.driver.has_attempts(self.query_id):
+                self._remember_id()
             self.front.driver.client_disconnected(self.query_id)
 
+    def _remember_id(self) -> None:
+        if not self.is_safe:
+            self.front.remember_id(self.request_id)
+
     def _end(self, status: int, body: bytes, kind: bytes, extra: Headers = ()) -> None:
         self.front.open.pop(self.request_id, None)
         # The callbacks refer back to this object; without this line each request would wait for the garbage collector.
--- a/badgerbend/runtime/driver.py
+++ b/badgerbend/runtime/driver.py
@@ -128,6 +128,11 @@
             self._report_query_end(query_id)
             self._close(query, "gone")
 
+    def has_attempts(self, query_id: int) -> bool:
+        """Whether an attempt was made for an open query, so that a part of it may run."""
+        query = self.queries.get(query_id)
+        return query is not None and any(part in self._attempt_counts for part in query.parts)
+
     def is_wanted(self, attempt: Attempt) -> bool:
         """Whether a client still waits for an attempt's result; checked before a delayed attempt is written."""
         query = self.queries.get(attempt.query_id)
--- a/tests/test_incident_second_answers.py
+++ b/tests/test_incident_second_answers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from badgerbend.api import Outcome
-from badgerbend.frames.part_ids import PartIdHistory
+from badgerbend.frames.recent_ids import RecentIds
 from badgerbend.standin.framenode import FrameNode, Part
 from tests.broker_process import BrokerProcess, request
 from tests.platform_stage import run
@@ -157,7 +157,7 @@
 
 
 def test_ids_are_remembered_for_the_retention_and_forgotten_after_twice_that_time():
-    history = PartIdHistory(1.0, 10.0)
+    history = RecentIds(1.0, 10.0)
     history.add(b"a")
     history.expire(11.0)
     history.add(b"b")
