--- a/tests/test_waiting_deadlines.py
+++ b/tests/test_waiting_deadlines.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import re
+import time
 
 import pytest
 
 from badgerbend.standin.work import Model
 from tests import sockets
+from tests.broker_process import BrokerProcess, read_answer, request
 from tests.platform_stage import Stage, query, run
 from tests.replacing import replace_attribute
 from tests.sockets import BrokerFixture, until
@@ -163,3 +165,20 @@
             writer.close()
 
     sockets.run(main)
+
+
+def test_requests_behind_those_that_are_parsed_ahead_are_answered_once_the_others_have_expired():
+    # Input behind the requests that are parsed ahead (64) was parsed after a response of a handler only, and refusals
+    # have none: the rest got no answer (review/7).
+    async def main():
+        async with BrokerProcess(behave=lambda part: None) as broker:
+            reader, writer = await broker.connect()
+            asked = [request(f"q{number}", [1], deadline_ms=1000) for number in range(100)]
+            sent_at = time.monotonic()
+            writer.write(b"".join(one.data for one in asked))
+            statuses = [(await read_answer(reader)).status for _ in asked]
+            assert set(statuses) <= {502, 503}
+            assert time.monotonic() - sent_at < 1.5
+            writer.close()
+
+    run(main)
