--- a/badgerbend/net/server_connection.py
+++ b/badgerbend/net/server_connection.py
@@ -154,7 +154,7 @@
         """Serves the next request. What needs no handler is written first: it belongs to earlier ones, or ends."""
         if self.active is not None or self.transport is None:
             return
-        if self.http.has_input_behind_next and self._may_hide_end():
+        if self.http.has_input_behind_next and self._is_end_unknown():
             if self.http.accepts_input:
                 self._schedule_turn()  # the end of the connection may lie behind what is read next
                 return
@@ -276,9 +276,9 @@
 
     def may_hide_end(self) -> bool:
         """Whether the peer may have left unnoticed: it has sent more than is accepted, and not all of it was read."""
-        return self.discarded is not None and self._may_hide_end()
+        return self.discarded is not None and self._is_end_unknown()
 
-    def _may_hide_end(self) -> bool:
+    def _is_end_unknown(self) -> bool:
         """Whether the end of the connection may have waited behind unread input for longer than is harmless."""
         is_recent = self.loop.time() - self._drained_at < MAX_HIDDEN_END_S
         return not is_recent and has_unread_input(self.transport)
