--- a/tests/test_simulated_drains.py
+++ b/tests/test_simulated_drains.py
@@ -49,7 +49,7 @@
     "a poll is aborted as the next one is sent": (abort_overdue_polls, 5),
     "a row that lacks fields is ignored": (
         lambda m: m.setattr(directory.ListReader, "_read_departure", lambda self, raw: None),
-        17,
+        40,
     ),
 }
 
