--- a/badgerbend/frames/channel.py
+++ b/badgerbend/frames/channel.py
@@ -298,11 +298,16 @@
 
     def _confirm_answer(self) -> bool:
         """Ends the attempt of the answer that waits for its confirmation; returns whether the connection goes on."""
+        message = self._take_unconfirmed()
+        return message is None or self._handle_answer(message)
+
+    def _take_unconfirmed(self) -> PartAnswer | None:
+        """Returns the answer that waits for its confirmation, which no longer waits."""
         if self._confirmation is not None:
             self._confirmation.cancel()
             self._confirmation = None
         message, self._unconfirmed = self._unconfirmed, None
-        return message is None or self._handle_answer(message)
+        return message
 
     def _confirm_if_alone(self) -> None:
         self._confirmation = None
@@ -336,9 +341,7 @@
         if self.ended:
             return
         self.ended = True
-        self._unconfirmed = None
-        if self._confirmation is not None:
-            self._confirmation.cancel()
+        self._take_unconfirmed()
         # If bytes are left above the kernel and the last call was written last, that call was not sent completely. If a
         # cancellation was written after the call, the remaining bytes may belong to the cancellation alone.
         cut_short = self.blocked and self.bytes_since_call == self.last_call_bytes
