Tests of floods and of answers use what the suite has

flood_clients.py had its own chunks, short headers, large body and new ids beside those of memory_clients.py. Tests with one node and a transport to it share a context manager in test_frames.py, where eleven repeated its set-up and end. Assertions, forms and bounds are as before.

--- a/tests/flood_clients.py
+++ b/tests/flood_clients.py
@@ -6,36 +6,26 @@
 
 import asyncio
 import itertools
-import os
 import sys
 
 from tests.broker_process import ACCOUNT, HOST
+from tests.memory_clients import chunks_of, large_body, new_id, small_headers
 from tests.platform_stage import query
 
 KNOWN_ACCOUNT = ACCOUNT.encode()
 BATCH = 100  # requests that are written together
 _numbers = itertools.count()
-_prefix = f"{os.getpid()}"
 
 
 def post(body, path=b"/quote/abc", account=KNOWN_ACCOUNT, extra=b"", name=None, time_left=b"3000", framing=None):
-    name = name or b"%s-%d" % (_prefix.encode(), next(_numbers))
+    name = name or new_id().encode()
     return (
         b"POST %s HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Account: %s\r\nX-Time-Left-Ms: %s\r\n%s%s\r\n\r\n%s"
     ) % (path, name, account, time_left, extra, framing or b"Content-Length: %d" % len(body), body)
 
 
-BODY = query([1, 2])
-
-
-LARGE_BODY = query([1, 2], "c41e77d0" * 7500)
-
-
-def in_chunks(body, size=1):
-    return b"".join(b"%x\r\n%s\r\n" % (len(c), c) for c in (body[at : at + size] for at in range(0, len(body), size)))
-
-
-CHUNKS, LARGE_CHUNKS = in_chunks(BODY), in_chunks(LARGE_BODY)
+BODY, LARGE_BODY = query([1, 2]), large_body()
+CHUNKS, LARGE_CHUNKS = chunks_of(BODY, 1), chunks_of(LARGE_BODY, 1)
 
 
 def chunked(chunks):
@@ -46,7 +36,7 @@
     return b"n%d" % next(_numbers)
 
 
-MANY_SHORT_FIELDS = b"".join(b"%x:\r\n" % number for number in range(0x100, 0x100 + 90))
+MANY_SHORT_FIELDS = small_headers(90)
 
 FORMS = {
     "unknown path": lambda: b"GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n",
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,6 +1,7 @@
 """Frames: decoding in arbitrary pieces, invalid answers, and outcomes of parts when their connection ends."""
 
 import asyncio
+import contextlib
 import gc
 import socket
 
@@ -431,6 +432,18 @@
     return transport, ends, addresses
 
 
+@contextlib.asynccontextmanager
+async def node_with_transport(behave=Part.served, **limits):
+    """A node, a transport that is connected to it as node 1, and the ends of attempts."""
+    node = FrameNode(behave)
+    transport, ends, _ = await transport_to(await node.start(), **limits)
+    try:
+        yield node, transport, ends
+    finally:
+        transport.close()
+        node.stop()
+
+
 def test_a_connection_carries_no_more_parts_than_the_limit():
     async def main():
         node = FrameNode(lambda part: None)
@@ -521,21 +534,18 @@
 
 def test_a_retry_on_the_same_node_uses_another_connection_while_the_first_answer_may_arrive():
     async def main():
-        node = FrameNode(lambda part: None)
-        transport, ends, _ = await transport_to(await node.start())
-        first = attempt(1)
-        transport.send(1, [first])
-        await until(lambda: node.parts())
-        transport.cancel(first)
-        transport.send(1, [attempt(1, 1)])
-        await until(lambda: len(node.parts()) == 2)
-        assert node.accepted == 2
-        node.parts()[0].connection.send(node.parts()[0].answer(b"skipped"))
-        node.parts()[1].served()
-        await until(lambda: ends)
-        assert ends == [(1, Outcome.OK, node.parts()[1].value())]
-        transport.close()
-        node.stop()
+        async with node_with_transport(lambda part: None) as (node, transport, ends):
+            first = attempt(1)
+            transport.send(1, [first])
+            await until(lambda: node.parts())
+            transport.cancel(first)
+            transport.send(1, [attempt(1, 1)])
+            await until(lambda: len(node.parts()) == 2)
+            assert node.accepted == 2
+            node.parts()[0].connection.send(node.parts()[0].answer(b"skipped"))
+            node.parts()[1].served()
+            await until(lambda: ends)
+            assert ends == [(1, Outcome.OK, node.parts()[1].value())]
 
     run(main)
 
--- a/tests/test_incident_second_answers.py
+++ b/tests/test_incident_second_answers.py
@@ -11,11 +11,11 @@
 
 from badgerbend.api import Outcome
 from badgerbend.frames.recent_ids import RecentIds
-from badgerbend.standin.framenode import FrameNode, Part
+from badgerbend.standin.framenode import Part
 from tests.broker_process import BrokerProcess, request
 from tests.platform_stage import run
 from tests.sockets import until
-from tests.test_frames import attempt, transport_to
+from tests.test_frames import attempt, node_with_transport
 
 COPY_DELAYS_S = [0.0, 0.0003, 0.005]
 RUN_S = 0.05
@@ -62,40 +62,34 @@
 @pytest.mark.parametrize("copy_delay_s", COPY_DELAYS_S)
 def test_a_second_copy_does_not_end_a_later_attempt(end, outcome, copy_delay_s):
     async def main():
-        node = FrameNode(TurnsAwayTwice(end, copy_delay_s))
-        transport, ends, _ = await transport_to(await node.start())
-        transport.send(1, [attempt(1)])
-        await until(lambda: ends)
-        transport.send(1, [attempt(1, 1)])
-        await until(lambda: len(ends) == 2)
-        assert ends == [(1, outcome, None), (1, Outcome.OK, node.parts()[1].value())]
-        transport.close()
-        node.stop()
+        async with node_with_transport(TurnsAwayTwice(end, copy_delay_s)) as (node, transport, ends):
+            transport.send(1, [attempt(1)])
+            await until(lambda: ends)
+            transport.send(1, [attempt(1, 1)])
+            await until(lambda: len(ends) == 2)
+            assert ends == [(1, outcome, None), (1, Outcome.OK, node.parts()[1].value())]
 
     run(main)
 
 
 def test_a_second_copy_of_the_answer_to_a_cancelled_attempt_does_not_end_a_later_one():
     async def main():
-        node = FrameNode(lambda part: None)
-        transport, ends, _ = await transport_to(await node.start())
-        first = attempt(1)
-        transport.send(1, [first])
-        await until(lambda: node.parts())
-        transport.cancel(first)
-        early = node.parts()[0]
-        early.connection.send(early.answer(b"skipped"))
-        await asyncio.sleep(RUN_S)
-        transport.send(1, [attempt(1, 1)])
-        await until(lambda: len(node.parts()) == 2)
-        early.connection.send(early.answer(b"skipped"))
-        await asyncio.sleep(RUN_S)
-        assert ends == []
-        node.parts()[1].served()
-        await until(lambda: ends)
-        assert ends == [(1, Outcome.OK, node.parts()[1].value())]
-        transport.close()
-        node.stop()
+        async with node_with_transport(lambda part: None) as (node, transport, ends):
+            first = attempt(1)
+            transport.send(1, [first])
+            await until(lambda: node.parts())
+            transport.cancel(first)
+            early = node.parts()[0]
+            early.connection.send(early.answer(b"skipped"))
+            await asyncio.sleep(RUN_S)
+            transport.send(1, [attempt(1, 1)])
+            await until(lambda: len(node.parts()) == 2)
+            early.connection.send(early.answer(b"skipped"))
+            await asyncio.sleep(RUN_S)
+            assert ends == []
+            node.parts()[1].served()
+            await until(lambda: ends)
+            assert ends == [(1, Outcome.OK, node.parts()[1].value())]
 
     run(main)
 
@@ -103,55 +97,46 @@
 def test_a_request_with_an_id_used_before_is_not_answered_by_a_copy_of_the_earlier_answer():
     # The values of the two differ, as their texts do.
     async def main():
-        node = FrameNode(serves_first_part)
-        transport, ends, _ = await transport_to(await node.start())
-        transport.send(1, [attempt(1, text=b"one")])
-        await until(lambda: ends)
-        early = node.parts()[0]
-        transport.send(1, [attempt(1, text=b"two")])
-        await until(lambda: len(node.parts()) == 2)
-        early.served()
-        await asyncio.sleep(RUN_S)
-        node.parts()[1].served()
-        await until(lambda: len(ends) == 2)
-        assert ends[1] == (1, Outcome.OK, node.parts()[1].value())
-        transport.close()
-        node.stop()
+        async with node_with_transport(serves_first_part) as (node, transport, ends):
+            transport.send(1, [attempt(1, text=b"one")])
+            await until(lambda: ends)
+            early = node.parts()[0]
+            transport.send(1, [attempt(1, text=b"two")])
+            await until(lambda: len(node.parts()) == 2)
+            early.served()
+            await asyncio.sleep(RUN_S)
+            node.parts()[1].served()
+            await until(lambda: len(ends) == 2)
+            assert ends[1] == (1, Outcome.OK, node.parts()[1].value())
 
     run(main)
 
 
 def test_a_second_copy_does_not_fail_the_other_parts_of_its_connection():
     async def main():
-        node = FrameNode(serves_first_part)
-        transport, ends, _ = await transport_to(await node.start())
-        transport.send(1, [attempt(1)])
-        await until(lambda: ends)
-        transport.send(1, [attempt(2)])
-        await until(lambda: len(node.parts()) == 2)
-        assert node.accepted == 1
-        node.parts()[0].served()
-        node.parts()[1].served()
-        await until(lambda: len(ends) == 2)
-        assert ends[1] == (2, Outcome.OK, node.parts()[1].value())
-        transport.close()
-        node.stop()
+        async with node_with_transport(serves_first_part) as (node, transport, ends):
+            transport.send(1, [attempt(1)])
+            await until(lambda: ends)
+            transport.send(1, [attempt(2)])
+            await until(lambda: len(node.parts()) == 2)
+            assert node.accepted == 1
+            node.parts()[0].served()
+            node.parts()[1].served()
+            await until(lambda: len(ends) == 2)
+            assert ends[1] == (2, Outcome.OK, node.parts()[1].value())
 
     run(main)
 
 
 def test_connections_carry_a_part_again_after_the_retention():
     async def main():
-        node = FrameNode()
-        transport, ends, _ = await transport_to(await node.start(), part_id_retention_s=0.05)
-        transport.send(1, [attempt(1)])
-        await until(lambda: ends)
-        await asyncio.sleep(0.15)
-        transport.send(1, [attempt(1)])
-        await until(lambda: len(ends) == 2)
-        assert node.accepted == 1
-        transport.close()
-        node.stop()
+        async with node_with_transport(part_id_retention_s=0.05) as (node, transport, ends):
+            transport.send(1, [attempt(1)])
+            await until(lambda: ends)
+            await asyncio.sleep(0.15)
+            transport.send(1, [attempt(1)])
+            await until(lambda: len(ends) == 2)
+            assert node.accepted == 1
 
     run(main)
 
--- a/tests/test_incident_short_lengths.py
+++ b/tests/test_incident_short_lengths.py
@@ -12,11 +12,11 @@
 
 from badgerbend.api import Outcome
 from badgerbend.frames.channel import CONFIRMATION_S
-from badgerbend.standin.framenode import LENGTH, FrameNode, Part
+from badgerbend.standin.framenode import LENGTH, Part
 from tests.broker_process import BrokerProcess, request
 from tests.platform_stage import run
 from tests.sockets import until
-from tests.test_frames import attempt, transport_to
+from tests.test_frames import attempt, node_with_transport
 
 COUNT = 24
 
@@ -67,22 +67,19 @@
     run(main)
 
 
-async def outcome_of_short_answer(missing, first_bytes, delay_s):
-    node = FrameNode(SpoilsSome(missing, first_bytes, delay_s))
-    next(node.behave.numbers)
-    next(node.behave.numbers)
-    transport, ends, _ = await transport_to(await node.start())
-    transport.send(1, [attempt(1)])
+async def until_ended(transport, ends):
+    """Waits for the end of an attempt, or until its answer has stalled."""
     loop = asyncio.get_running_loop()
+    await until(lambda: transport.sweep(loop.time()) or ends)
 
-    def sweep():
-        transport.sweep(loop.time())
-        return ends
 
-    await until(sweep)
-    transport.close()
-    node.stop()
-    return ends[0][1]
+async def outcome_of_short_answer(missing, first_bytes, delay_s):
+    spoils = SpoilsSome(missing, first_bytes, delay_s)
+    spoils.numbers = itertools.count(3)
+    async with node_with_transport(spoils) as (_, transport, ends):
+        transport.send(1, [attempt(1)])
+        await until_ended(transport, ends)
+        return ends[0][1]
 
 
 @pytest.mark.parametrize("missing", [1, 3, 4, 15])
@@ -99,14 +96,13 @@
 def test_an_answer_with_noise_right_behind_it_has_failed(end):
     # The broker can't tell this from a length that is too short.
     async def main():
-        node = FrameNode(lambda part: part.connection.send(part.answer(b"served", part.value()) + end))
-        transport, ends, _ = await transport_to(await node.start())
-        transport.send(1, [attempt(1)])
-        loop = asyncio.get_running_loop()
-        await until(lambda: transport.sweep(loop.time()) or ends)
-        assert ends == [(1, Outcome.ERROR, None)]
-        transport.close()
-        node.stop()
+        def answer_and_noise(part):
+            part.connection.send(part.answer(b"served", part.value()) + end)
+
+        async with node_with_transport(answer_and_noise) as (_, transport, ends):
+            transport.send(1, [attempt(1)])
+            await until_ended(transport, ends)
+            assert ends == [(1, Outcome.ERROR, None)]
 
     run(main)
 
@@ -114,21 +110,18 @@
 @pytest.mark.parametrize("bytes_behind", [0, 1, 4, 5, 20])
 def test_a_good_answer_counts_whatever_part_of_the_next_frame_is_read_with_it(bytes_behind):
     async def main():
-        node = FrameNode(lambda part: None)
-        transport, ends, _ = await transport_to(await node.start())
-        transport.send(1, [attempt(1), attempt(2)])
-        await until(lambda: len(node.parts()) == 2)
-        one, two = node.parts()
-        second = two.answer(b"served", two.value())
-        one.connection.send(one.answer(b"served", one.value()) + second[:bytes_behind])
-        if bytes_behind not in (1, 4):  # part of a head shows nothing yet
-            await until(lambda: ends)
-        await asyncio.sleep(3 * CONFIRMATION_S)
-        one.connection.send(second[bytes_behind:])
-        await until(lambda: len(ends) == 2)
-        assert ends == [(1, Outcome.OK, one.value()), (2, Outcome.OK, two.value())]
-        transport.close()
-        node.stop()
+        async with node_with_transport(lambda part: None) as (node, transport, ends):
+            transport.send(1, [attempt(1), attempt(2)])
+            await until(lambda: len(node.parts()) == 2)
+            one, two = node.parts()
+            second = two.answer(b"served", two.value())
+            one.connection.send(one.answer(b"served", one.value()) + second[:bytes_behind])
+            if bytes_behind not in (1, 4):  # part of a head shows nothing yet
+                await until(lambda: ends)
+            await asyncio.sleep(3 * CONFIRMATION_S)
+            one.connection.send(second[bytes_behind:])
+            await until(lambda: len(ends) == 2)
+            assert ends == [(1, Outcome.OK, one.value()), (2, Outcome.OK, two.value())]
 
     run(main)
 
@@ -139,31 +132,26 @@
             Part.served(part)
             part.connection.transport.close()
 
-        node = FrameNode(answer_and_close)
-        transport, ends, _ = await transport_to(await node.start())
-        transport.send(1, [attempt(1)])
-        await until(lambda: ends)
-        assert ends == [(1, Outcome.OK, node.parts()[0].value())]
-        node.stop()
+        async with node_with_transport(answer_and_close) as (node, transport, ends):
+            transport.send(1, [attempt(1)])
+            await until(lambda: ends)
+            assert ends == [(1, Outcome.OK, node.parts()[0].value())]
 
     run(main)
 
 
 def test_an_attempt_that_is_cancelled_before_its_answer_is_confirmed_has_no_end():
     async def main():
-        node = FrameNode(lambda part: None)
-        transport, ends, _ = await transport_to(await node.start())
-        one = attempt(1)
-        transport.send(1, [one])
-        await until(lambda: node.parts())
-        channel = one.handle
-        channel.data_received(node.parts()[0].answer(b"served", b"value"))
-        assert ends == []
-        transport.cancel(one)
-        await asyncio.sleep(3 * CONFIRMATION_S)
-        assert ends == []
-        assert channel.idle()
-        transport.close()
-        node.stop()
+        async with node_with_transport(lambda part: None) as (node, transport, ends):
+            one = attempt(1)
+            transport.send(1, [one])
+            await until(lambda: node.parts())
+            channel = one.handle
+            channel.data_received(node.parts()[0].answer(b"served", b"value"))
+            assert ends == []
+            transport.cancel(one)
+            await asyncio.sleep(3 * CONFIRMATION_S)
+            assert ends == []
+            assert channel.idle()
 
     run(main)
